--- /dev/null
+++ b/admission/slots.go
@@ -0,0 +1,47 @@
+// Package admission decides which requests run on the local upstream, which
+// wait and which are refused.
+package admission
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+// Slots admits at most a fixed number of requests at once; a bounded number
+// of others wait in order. It is safe for concurrent use.
+type Slots struct {
+	slots  chan struct{}
+	queue  int64
+	queued atomic.Int64
+}
+
+// NewSlots returns a gate with the given number of slots and queue places.
+func NewSlots(slots, queue int) *Slots {
+	return &Slots{slots: make(chan struct{}, slots), queue: int64(queue)}
+}
+
+// Acquire waits for a slot. It returns a refusal, or nil and the request must
+// call Release when it ends.
+func (s *Slots) Acquire(ctx context.Context, _ *call.Head) *call.Reply {
+	if s.queued.Add(1) > s.queue {
+		s.queued.Add(-1)
+		return call.Refuse(call.CodeOverloaded, "the queue is full")
+	}
+	defer s.queued.Add(-1)
+	select {
+	case s.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return call.Refuse(call.CodeDeadline, "the deadline passed in the queue")
+	}
+}
+
+// Release frees the slot of a request.
+func (s *Slots) Release() { <-s.slots }
+
+// Load returns the gate's state.
+func (s *Slots) Load() call.Load {
+	return call.Load{Running: len(s.slots), Queued: int(s.queued.Load()), Limit: cap(s.slots)}
+}
--- /dev/null
+++ b/call/call.go
@@ -0,0 +1,212 @@
+// Package call has the types of a request on its way between nodes: its head,
+// its reply, the outcome told to the caller and the reasons of a refusal.
+package call
+
+import (
+	"net/http"
+	"time"
+)
+
+// Outcome tells a caller whether its request ran.
+type Outcome uint8
+
+const (
+	// Answered means that an upstream ran the request and answered.
+	Answered Outcome = iota + 1
+	// Refused means that the request was not run and will not be.
+	Refused
+	// Unknown means that the request may have run; it is not run again.
+	Unknown
+)
+
+// String returns the outcome's value in the Mangomast-Outcome header.
+func (o Outcome) String() string {
+	switch o {
+	case Answered:
+		return "answered"
+	case Refused:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
+
+// Code is the reason of an outcome other than Answered.
+type Code uint8
+
+// Reasons, in the order of the checks that give them.
+const (
+	CodeNone Code = iota
+	CodeBadRequest
+	CodeUnauthenticated
+	CodeForbidden
+	CodeNoRoute
+	CodeTooLarge
+	CodeRateLimited
+	CodeOverloaded
+	CodeDeadline
+	CodeNoUpstream
+	CodeLeaving
+	CodeConflict
+	CodeQuarantined
+	CodeStaleConfig
+	CodeCancelled
+	CodeConnectionLost
+	CodeUpstreamFailed
+	CodeStoreUnavailable
+	CodeInternal
+)
+
+type codeText struct {
+	name   string
+	status int
+}
+
+var codeTexts = [...]codeText{
+	CodeNone:             {"none", http.StatusOK},
+	CodeBadRequest:       {"bad_request", http.StatusBadRequest},
+	CodeUnauthenticated:  {"unauthenticated", http.StatusUnauthorized},
+	CodeForbidden:        {"forbidden", http.StatusForbidden},
+	CodeNoRoute:          {"no_route", http.StatusNotFound},
+	CodeTooLarge:         {"too_large", http.StatusRequestEntityTooLarge},
+	CodeRateLimited:      {"rate_limited", http.StatusTooManyRequests},
+	CodeOverloaded:       {"overloaded", http.StatusServiceUnavailable},
+	CodeDeadline:         {"deadline", http.StatusGatewayTimeout},
+	CodeNoUpstream:       {"no_upstream", http.StatusServiceUnavailable},
+	CodeLeaving:          {"leaving", http.StatusServiceUnavailable},
+	CodeConflict:         {"conflict", http.StatusUnprocessableEntity},
+	CodeQuarantined:      {"quarantined", http.StatusServiceUnavailable},
+	CodeStaleConfig:      {"stale_config", http.StatusServiceUnavailable},
+	CodeCancelled:        {"cancelled", 499},
+	CodeConnectionLost:   {"connection_lost", http.StatusBadGateway},
+	CodeUpstreamFailed:   {"upstream_failed", http.StatusBadGateway},
+	CodeStoreUnavailable: {"store_unavailable", http.StatusServiceUnavailable},
+	CodeInternal:         {"internal", http.StatusInternalServerError},
+}
+
+// String returns the code's name in headers, logs and metrics.
+func (c Code) String() string {
+	if int(c) >= len(codeTexts) {
+		return "internal"
+	}
+	return codeTexts[c].name
+}
+
+// HTTPStatus returns the status sent to callers.
+func (c Code) HTTPStatus() int {
+	if int(c) >= len(codeTexts) {
+		return http.StatusInternalServerError
+	}
+	return codeTexts[c].status
+}
+
+// Pin names the one node incarnation that may run a non-idempotent request.
+type Pin struct {
+	VM          string `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// IsZero reports whether no node is pinned.
+func (p Pin) IsZero() bool { return p.VM == "" }
+
+// Field is one HTTP header field.
+type Field struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+// Head is everything about a request but its body.
+type Head struct {
+	// ID names the request; all attempts share it. A call made by an upstream
+	// has its own ID.
+	ID string `cbor:"1,keyasint"`
+	// Root is the ID of the caller's request at the top of the tree.
+	Root string `cbor:"2,keyasint"`
+	// Organisation is the one whose key came with the root request.
+	Organisation string `cbor:"3,keyasint"`
+	// Route is the ID of the route; Service serves it.
+	Route   string `cbor:"4,keyasint"`
+	Service string `cbor:"5,keyasint"`
+	// Importance is fixed at the ingress for the whole tree; higher is shed
+	// later.
+	Importance uint8 `cbor:"6,keyasint"`
+	// Rank orders users within an importance; higher is shed later.
+	Rank uint16 `cbor:"7,keyasint"`
+	// Timeout is the time left when the request was sent.
+	Timeout time.Duration `cbor:"8,keyasint"`
+	// RetryBudget is the number of retries that this call and all calls
+	// below it may still use together.
+	RetryBudget int `cbor:"9,keyasint"`
+	// Idempotent requests may run more than once.
+	Idempotent bool `cbor:"10,keyasint"`
+	// Pin is set for requests that are not idempotent.
+	Pin Pin `cbor:"11,keyasint"`
+	// Attempt counts from 0.
+	Attempt int `cbor:"12,keyasint"`
+	// Depth is 0 for a caller's request.
+	Depth int `cbor:"13,keyasint"`
+	// Method, Target (path and query) and Header are those of the HTTP request.
+	Method string  `cbor:"14,keyasint"`
+	Target string  `cbor:"15,keyasint"`
+	Header []Field `cbor:"16,keyasint"`
+}
+
+// Reply is everything about an answer but its body.
+type Reply struct {
+	Outcome Outcome `cbor:"1,keyasint"`
+	// Code is the reason of a refusal or an unknown outcome.
+	Code Code `cbor:"2,keyasint"`
+	// Message explains the code to people.
+	Message string `cbor:"3,keyasint,omitempty"`
+	// RetryAfter is when a refused request may be sent again; 0 for no advice.
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	// Status, Header and Length are those of the HTTP response; Length is -1
+	// if unknown.
+	Status int     `cbor:"5,keyasint,omitempty"`
+	Header []Field `cbor:"6,keyasint,omitempty"`
+	Length int64   `cbor:"7,keyasint,omitempty"`
+	// RetriesUsed is how much of the retry budget was spent below.
+	RetriesUsed int `cbor:"8,keyasint,omitempty"`
+	// Load is the serving node's state at the time of the reply.
+	Load Load `cbor:"9,keyasint"`
+}
+
+// Load is what a serving node says of itself on each reply.
+type Load struct {
+	// Running and Queued count requests; Limit is the concurrency limit.
+	Running int `cbor:"1,keyasint"`
+	Queued  int `cbor:"2,keyasint"`
+	Limit   int `cbor:"3,keyasint"`
+	// MinImportance and MinRank are the least that is still accepted.
+	MinImportance uint8  `cbor:"4,keyasint,omitempty"`
+	MinRank       uint16 `cbor:"5,keyasint,omitempty"`
+}
+
+// Refuse returns the reply of a request that was not run.
+func Refuse(code Code, message string) *Reply {
+	return &Reply{Outcome: Refused, Code: code, Message: message}
+}
+
+// Unsure returns the reply of a request that may have run.
+func Unsure(code Code, message string) *Reply {
+	return &Reply{Outcome: Unknown, Code: code, Message: message}
+}
+
+// FieldsOf flattens an HTTP header.
+func FieldsOf(header http.Header) []Field {
+	fields := make([]Field, 0, len(header))
+	for name, values := range header {
+		for _, value := range values {
+			fields = append(fields, Field{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+// AddFields adds the fields to an HTTP header.
+func AddFields(header http.Header, fields []Field) {
+	for _, f := range fields {
+		header.Add(f.Name, f.Value)
+	}
+}
--- /dev/null
+++ b/cmd/mangomast-bench/standin.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/internal/standin"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+// crashStatus is the exit code of an upstream that a request crashed.
+const crashStatus = 3
+
+type storeCommand struct {
+	Listen string `long:"listen" required:"true" value-name:"IP:PORT"`
+}
+
+// Execute implements flags.Commander.
+func (c *storeCommand) Execute([]string) error {
+	return serve(c.Listen, standin.NewStore())
+}
+
+type upstreamCommand struct {
+	Listen      string `long:"listen" required:"true" value-name:"IP:PORT"`
+	Egress      string `long:"egress" required:"true" value-name:"URL"`
+	Service     string `long:"service" required:"true"`
+	Slots       int    `long:"slots" default:"10"`
+	Connections int    `long:"connections" default:"100"`
+	Behaviour   string `long:"behaviour" default:"{}" value-name:"JSON"`
+}
+
+// Execute implements flags.Commander.
+func (c *upstreamCommand) Execute([]string) error {
+	var behaviour standin.Behaviour
+	if err := json.Unmarshal([]byte(c.Behaviour), &behaviour); err != nil {
+		return errors.Wrap(err, "behaviour")
+	}
+	upstream := standin.NewUpstream(standin.UpstreamOptions{
+		Slots: c.Slots, Egress: c.Egress, Behaviour: behaviour,
+		Crash: func() { os.Exit(crashStatus) },
+	})
+	announcer := &standin.Announcer{
+		Egress: c.Egress, Service: c.Service, Address: c.Listen, Slots: c.Slots, Connections: c.Connections,
+	}
+	go func() { _ = announcer.Run(context.Background()) }()
+	return serve(c.Listen, upstream)
+}
+
+func serve(address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	return server.ListenAndServe()
+}
--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,123 @@
+// Package config has the configuration document that operators edit: its
+// types, its validation, and the compiled Snapshot that nodes serve from.
+package config
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/jsonc"
+)
+
+// Document is the whole configuration. Its JSON names are the fields that
+// operators edit.
+type Document struct {
+	Organisations []Organisation  `json:"organisations"`
+	Keys          []Key           `json:"keys"`
+	Services      []Service       `json:"services"`
+	Routes        []Route         `json:"routes"`
+	Domains       []FailureDomain `json:"failure_domains"`
+}
+
+// Organisation is a customer with a share of the fleet.
+type Organisation struct {
+	// ID is the organisation's name, as in 1 to 63 of a-z, 0-9, '.', '_', '-'.
+	ID string `json:"id"`
+	// Name is shown to operators.
+	Name string `json:"name,omitempty"`
+	// Weight is the share under overload, relative to other organisations.
+	Weight float64 `json:"weight"`
+	// Rate is in requests a second, counted over all VMs together.
+	Rate float64 `json:"rate"`
+	// Burst is the number of requests accepted at once above the rate.
+	Burst float64 `json:"burst"`
+	// ServeWhenCutOff is how long a region without fresh configuration goes
+	// on serving the organisation.
+	ServeWhenCutOff jsonc.Duration `json:"serve_when_cut_off,omitempty"`
+	// Suspended organisations are refused.
+	Suspended bool `json:"suspended,omitempty"`
+}
+
+// Key is a caller's credential. Only its hash is kept.
+type Key struct {
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	// Hash is the SHA-256 of the key in hexadecimal.
+	Hash string `json:"hash"`
+	Note string `json:"note,omitempty"`
+}
+
+// Service is a set of upstreams that serve the same requests.
+type Service struct {
+	ID string `json:"id"`
+}
+
+// Everyone is the OpenTo value of a route that is open to all organisations.
+const Everyone = "all"
+
+// Route maps requests to a service.
+type Route struct {
+	ID string `json:"id"`
+	// Method is an HTTP method, or "*" for any.
+	Method string `json:"method"`
+	// Path is a path, or a prefix if it ends in "/".
+	Path    string `json:"path"`
+	Service string `json:"service"`
+	// Idempotent requests may run more than once.
+	Idempotent bool `json:"idempotent"`
+	// OpenTo lists organisations, or just "all".
+	OpenTo []string `json:"open_to"`
+	// Internal routes serve upstreams' calls only, never callers.
+	Internal bool `json:"internal,omitempty"`
+	// Importance is 1 (shed first) to 9 (shed last).
+	Importance uint8 `json:"importance"`
+	// Deadline bounds the time to the whole answer.
+	Deadline jsonc.Duration `json:"deadline"`
+	// RetryBudget bounds the retries for one request over the whole chain.
+	RetryBudget int `json:"retry_budget"`
+	// MaxRequestBytes and MaxAnswerBytes bound the bodies.
+	MaxRequestBytes int64 `json:"max_request_bytes"`
+	MaxAnswerBytes  int64 `json:"max_answer_bytes"`
+}
+
+// FailureDomain is a set of VMs that may fail together.
+type FailureDomain struct {
+	ID     string `json:"id"`
+	Region string `json:"region"`
+	// Weight is the domain's weight in majorities; 1 if absent.
+	Weight int `json:"weight,omitempty"`
+}
+
+// Parse decodes and validates a document written in JSON with comments. All
+// findings are returned together as *finding.Error.
+func Parse(file string, data []byte) (*Document, error) {
+	findings := &finding.List{File: file}
+	doc := &Document{}
+	jsonc.Decode(data, doc, findings)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	doc.Validate(findings)
+	return doc, findings.Err()
+}
+
+// Encode returns the document as JSON.
+func (d *Document) Encode() ([]byte, error) {
+	data, err := json.MarshalIndent(d, "", "  ")
+	return data, errors.Wrap(err, "encode document")
+}
+
+// Clone returns a deep copy.
+func (d *Document) Clone() (*Document, error) {
+	data, err := d.Encode()
+	if err != nil {
+		return nil, err
+	}
+	copied := &Document{}
+	return copied, errors.Wrap(json.Unmarshal(data, copied), "copy document")
+}
+
+// DocumentKey is the document's key in the store, after the prefix.
+const DocumentKey = "config/document"
--- /dev/null
+++ b/config/owner.go
@@ -0,0 +1,34 @@
+package config
+
+// OwnersKey is the owner table's key in the store, after the prefix.
+const OwnersKey = "config/owners"
+
+// Owner is the node incarnation that grants an organisation's rate and burst.
+type Owner struct {
+	Organisation string `json:"organisation" cbor:"1,keyasint"`
+	VM           string `json:"vm" cbor:"2,keyasint"`
+	Incarnation  uint64 `json:"incarnation" cbor:"3,keyasint"`
+	// Term grows with each change of the organisation's owner.
+	Term uint64 `json:"term" cbor:"4,keyasint"`
+}
+
+// OwnerTable lists the owners, one for each organisation. It is kept in the
+// store beside the document and spread by the same stream.
+type OwnerTable struct {
+	// Revision is the store's revision of the table.
+	Revision int64   `json:"-" cbor:"1,keyasint"`
+	Owners   []Owner `json:"owners" cbor:"2,keyasint"`
+}
+
+// Owner returns the owner of an organisation; ok is false if it has none.
+func (t *OwnerTable) Owner(organisation string) (owner Owner, ok bool) {
+	if t == nil {
+		return Owner{}, false
+	}
+	for _, o := range t.Owners {
+		if o.Organisation == organisation {
+			return o, true
+		}
+	}
+	return Owner{}, false
+}
--- /dev/null
+++ b/config/snapshot.go
@@ -0,0 +1,97 @@
+package config
+
+import (
+	"slices"
+	"strings"
+)
+
+// Snapshot is a validated document compiled for lookups. It is immutable.
+type Snapshot struct {
+	// Revision is the store's revision of the document.
+	Revision int64
+	Document *Document
+	// Owners says which node grants each organisation's rate; nil before the
+	// first table.
+	Owners *OwnerTable
+
+	organisations map[string]*Organisation
+	keys          map[string]*Key
+	exact         map[string][]*Route
+	prefixes      []*Route
+}
+
+// Source gives the configuration in force on this node.
+type Source interface {
+	// Snapshot returns the latest known snapshot, or nil before the first.
+	Snapshot() *Snapshot
+	// Fresh reports whether there is recent proof that the snapshot is the
+	// latest accepted one. Keys and rates must not be served without it.
+	Fresh() bool
+	// Accepted returns the highest revision known to be in force on every
+	// node that may serve; 0 before the first. It never goes back.
+	Accepted() int64
+}
+
+// NewSnapshot compiles a document that has been validated.
+func NewSnapshot(doc *Document, revision int64) *Snapshot {
+	s := &Snapshot{
+		Revision:      revision,
+		Document:      doc,
+		organisations: make(map[string]*Organisation, len(doc.Organisations)),
+		keys:          make(map[string]*Key, len(doc.Keys)),
+		exact:         map[string][]*Route{},
+	}
+	for i := range doc.Organisations {
+		s.organisations[doc.Organisations[i].ID] = &doc.Organisations[i]
+	}
+	for i := range doc.Keys {
+		s.keys[strings.ToLower(doc.Keys[i].Hash)] = &doc.Keys[i]
+	}
+	for i := range doc.Routes {
+		s.addRoute(&doc.Routes[i])
+	}
+	slices.SortStableFunc(s.prefixes, func(a, b *Route) int { return len(b.Path) - len(a.Path) })
+	return s
+}
+
+func (s *Snapshot) addRoute(route *Route) {
+	if strings.HasSuffix(route.Path, "/") {
+		s.prefixes = append(s.prefixes, route)
+		return
+	}
+	s.exact[route.Path] = append(s.exact[route.Path], route)
+}
+
+// Organisation returns the organisation with the ID, or nil.
+func (s *Snapshot) Organisation(id string) *Organisation { return s.organisations[id] }
+
+// KeyByHash returns the key with the hash, or nil.
+func (s *Snapshot) KeyByHash(hash string) *Key { return s.keys[hash] }
+
+// Route returns the route for a request, or nil. An exact path goes before a
+// prefix, a longer prefix before a shorter one.
+func (s *Snapshot) Route(method, path string) *Route {
+	for _, route := range s.exact[path] {
+		if route.matchesMethod(method) {
+			return route
+		}
+	}
+	for _, route := range s.prefixes {
+		if strings.HasPrefix(path, route.Path) && route.matchesMethod(method) {
+			return route
+		}
+	}
+	return nil
+}
+
+func (r *Route) matchesMethod(method string) bool {
+	return r.Method == "*" || r.Method == method
+}
+
+// Allows reports whether the route is open to the organisation.
+func (r *Route) Allows(organisation string) bool {
+	if len(r.OpenTo) == 1 && r.OpenTo[0] == Everyone {
+		return true
+	}
+	return slices.Contains(r.OpenTo, organisation)
+}
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,176 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/settings"
+)
+
+// Bounds of the document's fields.
+const (
+	MinImportance  = 1
+	MaxImportance  = 9
+	MaxRetryBudget = 10
+	MaxDeadline    = 60 * time.Second
+	MaxBodyBytes   = 64 << 20
+	MaxRequestBody = 8 << 20
+	MaxRate        = 1e7
+)
+
+const hashBytes = 32
+
+// Validate adds every error of the document to findings.
+func (d *Document) Validate(findings *finding.List) {
+	v := validator{findings: findings}
+	organisations := v.organisations(d.Organisations)
+	services := v.services(d.Services)
+	v.keys(d.Keys, organisations)
+	v.routes(d.Routes, organisations, services)
+	v.domains(d.Domains)
+}
+
+type nameSet map[string]bool
+
+type validator struct {
+	findings *finding.List
+}
+
+// id checks a name and that it is unique in the set.
+func (v *validator) id(field, id string, seen nameSet) {
+	switch {
+	case !settings.ValidName(id):
+		v.findings.Addf(field, "%q must be 1 to 63 lower-case letters, digits, '.', '_' or '-'", id)
+	case seen[id]:
+		v.findings.Addf(field, "%q is used twice", id)
+	}
+	seen[id] = true
+}
+
+func (v *validator) organisations(orgs []Organisation) nameSet {
+	seen := nameSet{}
+	for i, org := range orgs {
+		at := fmt.Sprintf("/organisations/%d", i)
+		v.id(at+"/id", org.ID, seen)
+		if org.ID == Everyone {
+			v.findings.Addf(at+"/id", "%q is reserved", Everyone)
+		}
+		if !(org.Weight > 0) || org.Weight > MaxRate {
+			v.findings.Addf(at+"/weight", "must be above 0 and at most %g", MaxRate)
+		}
+		if !(org.Rate >= 0) || org.Rate > MaxRate {
+			v.findings.Addf(at+"/rate", "must be 0 to %g requests a second", MaxRate)
+		}
+		if !(org.Burst >= 1) || org.Burst > MaxRate {
+			v.findings.Addf(at+"/burst", "must be 1 to %g requests", MaxRate)
+		}
+		if org.ServeWhenCutOff < 0 {
+			v.findings.Addf(at+"/serve_when_cut_off", "must not be negative")
+		}
+	}
+	return seen
+}
+
+func (v *validator) services(services []Service) nameSet {
+	seen := nameSet{}
+	for i, s := range services {
+		v.id(fmt.Sprintf("/services/%d/id", i), s.ID, seen)
+	}
+	return seen
+}
+
+func (v *validator) keys(keys []Key, organisations nameSet) {
+	ids, hashes := nameSet{}, nameSet{}
+	for i, key := range keys {
+		at := fmt.Sprintf("/keys/%d", i)
+		v.id(at+"/id", key.ID, ids)
+		if !organisations[key.Organisation] {
+			v.findings.Addf(at+"/organisation", "%q is not an organisation of this document", key.Organisation)
+		}
+		raw, err := hex.DecodeString(key.Hash)
+		if err != nil || len(raw) != hashBytes {
+			v.findings.Addf(at+"/hash", "must be a SHA-256 in hexadecimal; use 'mangomast key grant' to make a key")
+		}
+		if hashes[strings.ToLower(key.Hash)] {
+			v.findings.Addf(at+"/hash", "is the hash of another key too")
+		}
+		hashes[strings.ToLower(key.Hash)] = true
+	}
+}
+
+func (v *validator) routes(routes []Route, organisations, services nameSet) {
+	ids, patterns := nameSet{}, nameSet{}
+	for i, route := range routes {
+		at := fmt.Sprintf("/routes/%d", i)
+		v.id(at+"/id", route.ID, ids)
+		pattern := route.Method + " " + route.Path
+		if patterns[pattern] {
+			v.findings.Addf(at+"/path", "%q is matched by an earlier route", pattern)
+		}
+		patterns[pattern] = true
+		v.match(at, route)
+		if !services[route.Service] {
+			v.findings.Addf(at+"/service", "%q is not a service of this document", route.Service)
+		}
+		v.openTo(at+"/open_to", route.OpenTo, organisations)
+		v.limits(at, route)
+	}
+}
+
+func (v *validator) match(at string, route Route) {
+	if route.Method != "*" && (route.Method == "" || strings.ToUpper(route.Method) != route.Method) {
+		v.findings.Addf(at+"/method", `%q must be an upper-case HTTP method or "*"`, route.Method)
+	}
+	if !strings.HasPrefix(route.Path, "/") || strings.ContainsAny(route.Path, "?# ") {
+		v.findings.Addf(at+"/path", "%q must be a path that starts with '/'", route.Path)
+	}
+}
+
+func (v *validator) openTo(at string, openTo []string, organisations nameSet) {
+	if len(openTo) == 0 {
+		v.findings.Addf(at, "must list organisations, or just %q", Everyone)
+	}
+	for i, org := range openTo {
+		if org == Everyone && len(openTo) == 1 {
+			continue
+		}
+		if !organisations[org] {
+			v.findings.Addf(fmt.Sprintf("%s/%d", at, i), "%q is not an organisation of this document", org)
+		}
+	}
+}
+
+func (v *validator) limits(at string, route Route) {
+	if route.Importance < MinImportance || route.Importance > MaxImportance {
+		v.findings.Addf(at+"/importance", "must be %d (shed first) to %d (shed last)", MinImportance, MaxImportance)
+	}
+	if route.Deadline <= 0 || route.Deadline.Std() > MaxDeadline {
+		v.findings.Addf(at+"/deadline", "must be above 0s and at most %s", MaxDeadline)
+	}
+	if route.RetryBudget < 0 || route.RetryBudget > MaxRetryBudget {
+		v.findings.Addf(at+"/retry_budget", "must be 0 to %d", MaxRetryBudget)
+	}
+	if route.MaxRequestBytes < 0 || route.MaxRequestBytes > MaxRequestBody {
+		v.findings.Addf(at+"/max_request_bytes", "must be 0 to %d", MaxRequestBody)
+	}
+	if route.MaxAnswerBytes < 1 || route.MaxAnswerBytes > MaxBodyBytes {
+		v.findings.Addf(at+"/max_answer_bytes", "must be 1 to %d", MaxBodyBytes)
+	}
+}
+
+func (v *validator) domains(domains []FailureDomain) {
+	seen := nameSet{}
+	for i, domain := range domains {
+		at := fmt.Sprintf("/failure_domains/%d", i)
+		v.id(at+"/id", domain.ID, seen)
+		if !settings.ValidName(domain.Region) {
+			v.findings.Addf(at+"/region", "%q is not a valid name", domain.Region)
+		}
+		if domain.Weight < 0 || domain.Weight > 2 {
+			v.findings.Addf(at+"/weight", "must be 1 or 2")
+		}
+	}
+}
--- /dev/null
+++ b/kernel/context.go
@@ -0,0 +1,45 @@
+package kernel
+
+import (
+	"reflect"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mangomast/mangomast/settings"
+)
+
+// Context is handed to each module's Provision.
+type Context struct {
+	Node *settings.Node
+	// Incarnation numbers this run of the node; a later run has a higher one.
+	Incarnation uint64
+	Clock       clockwork.Clock
+	Log         log.Interface
+	Registry    *prometheus.Registry
+
+	services map[reflect.Type]any
+}
+
+// Provide offers a service under the interface or pointer type T to modules
+// that are provisioned later.
+func Provide[T any](ctx *Context, service T) {
+	ctx.services[reflect.TypeFor[T]()] = service
+}
+
+// Lookup returns the service of type T, if some module provided it.
+func Lookup[T any](ctx *Context) (T, bool) {
+	service, ok := ctx.services[reflect.TypeFor[T]()].(T)
+	return service, ok
+}
+
+// Require returns the service of type T or an error that names the type.
+func Require[T any](ctx *Context) (T, error) {
+	service, ok := Lookup[T](ctx)
+	if !ok {
+		return service, errors.Errorf("no module provides %s", reflect.TypeFor[T]())
+	}
+	return service, nil
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,181 @@
+package kernel
+
+import (
+	"context"
+	"encoding/json"
+	"reflect"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/jsonc"
+	"github.com/mangomast/mangomast/settings"
+)
+
+// drainTimeout bounds a graceful stop; the longest route deadline that the
+// configuration accepts is shorter.
+const drainTimeout = 90 * time.Second
+
+// Options are the inputs of New.
+type Options struct {
+	Node     *settings.Node
+	Clock    clockwork.Clock
+	Log      log.Interface
+	Registry *prometheus.Registry
+}
+
+// Kernel runs the modules of one node.
+type Kernel struct {
+	context *Context
+	modules []instance
+}
+
+type instance struct {
+	id     ID
+	module Module
+}
+
+// New creates, decodes and validates every registered module, then provisions
+// them. All findings in the settings are returned together as *finding.Error.
+func New(opts Options) (*Kernel, error) {
+	modules, err := load(opts.Node)
+	if err != nil {
+		return nil, err
+	}
+	k := &Kernel{
+		modules: modules,
+		context: &Context{
+			Node:        opts.Node,
+			Incarnation: uint64(opts.Clock.Now().UnixNano()),
+			Clock:       opts.Clock,
+			Log:         opts.Log,
+			Registry:    opts.Registry,
+			services:    map[reflect.Type]any{},
+		},
+	}
+	for _, m := range k.modules {
+		if err := m.module.Provision(k.context); err != nil {
+			return nil, errors.Wrapf(err, "provision module %s", m.id)
+		}
+	}
+	return k, nil
+}
+
+// Check decodes and validates the modules' settings without provisioning, and
+// adds what it finds to findings.
+func Check(node *settings.Node, findings *finding.List) error {
+	infos, err := Registered()
+	if err != nil {
+		return err
+	}
+	build(node, infos, findings)
+	return nil
+}
+
+func load(node *settings.Node) ([]instance, error) {
+	infos, err := Registered()
+	if err != nil {
+		return nil, err
+	}
+	findings := &finding.List{}
+	modules := build(node, infos, findings)
+	return modules, findings.Err()
+}
+
+func build(node *settings.Node, infos []ModuleInfo, findings *finding.List) []instance {
+	known := make(map[string]bool, len(infos))
+	modules := make([]instance, 0, len(infos))
+	for _, info := range infos {
+		known[string(info.ID)] = true
+		module := info.New()
+		prefix := "/modules/" + string(info.ID)
+		decodeModule(node.Modules[string(info.ID)], module, prefix, findings)
+		if v, ok := module.(Validator); ok {
+			v.Validate(prefix, findings)
+		}
+		modules = append(modules, instance{id: info.ID, module: module})
+	}
+	for name := range node.Modules {
+		if !known[name] {
+			findings.Addf("/modules/"+name, "unknown module %q", name)
+		}
+	}
+	return modules
+}
+
+func decodeModule(raw json.RawMessage, module Module, prefix string, findings *finding.List) {
+	if raw == nil {
+		return
+	}
+	own := &finding.List{}
+	jsonc.Decode(raw, module, own)
+	for _, f := range own.Findings() {
+		findings.Addf(prefix+f.Field, "%s", f.Message)
+	}
+}
+
+// Run starts the modules and blocks until the context ends or an actor fails.
+// When the context ends, the modules are drained in reverse order first.
+func (k *Kernel) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, m := range k.modules {
+		s, ok := m.module.(Starter)
+		if !ok {
+			continue
+		}
+		if err := s.Start(background); err != nil {
+			return errors.Wrapf(err, "start module %s", m.id)
+		}
+	}
+	var group run.Group
+	k.addStopper(ctx, &group)
+	for _, m := range k.modules {
+		if source, ok := m.module.(ActorSource); ok {
+			addActors(&group, background, m.id, source.Actors())
+		}
+	}
+	return group.Run()
+}
+
+func (k *Kernel) addStopper(ctx context.Context, group *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		<-ctx.Done()
+		k.drain()
+		return nil
+	}, func(error) { cancel() })
+}
+
+func addActors(group *run.Group, parent context.Context, id ID, actors []Actor) {
+	for _, actor := range actors {
+		ctx, cancel := context.WithCancel(parent)
+		group.Add(func() error {
+			err := actor.Run(ctx)
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrapf(err, "%s: %s", id, actor.Name)
+		}, func(error) { cancel() })
+	}
+}
+
+// drain finishes the modules' work in reverse order of provisioning.
+func (k *Kernel) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	for i := len(k.modules) - 1; i >= 0; i-- {
+		d, ok := k.modules[i].module.(Drainer)
+		if !ok {
+			continue
+		}
+		if err := d.Drain(ctx); err != nil {
+			k.context.Log.WithError(err).WithField("module", k.modules[i].id).Warn("module did not drain")
+		}
+	}
+}
--- /dev/null
+++ b/mesh/client.go
@@ -0,0 +1,217 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// TransportError is returned by Do when no answer came.
+type TransportError struct {
+	// Sent is false if the peer cannot have seen the request.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *TransportError) Error() string {
+	if e.Sent {
+		return "no answer: " + e.Err.Error()
+	}
+	return "not sent: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *TransportError) Unwrap() error { return e.Err }
+
+// Request is a message to another node.
+type Request struct {
+	Kind  Kind
+	Class Class
+	// Head is the encoded message; Body may be empty.
+	Head []byte
+	Body []byte
+}
+
+// Response is the answer to a Request. The caller closes Body, which is never
+// nil; a read error means that the body did not arrive whole.
+type Response struct {
+	From Identity
+	Head []byte
+	Body io.ReadCloser
+}
+
+// Peer is the node that a request goes to.
+type Peer struct {
+	// VM is checked against the peer's identity, unless it is empty.
+	VM      string
+	Address string
+}
+
+// Do sends a request and waits for the head of its answer. The error is a
+// *TransportError. When ctx ends, the peer's handler is cancelled; reading the
+// body is not bound by ctx but by closing it.
+func (m *Mesh) Do(ctx context.Context, peer Peer, req *Request) (*Response, error) {
+	l, err := m.connect(ctx, peer, req.Class)
+	if err != nil {
+		return nil, &TransportError{Err: err}
+	}
+	return l.do(ctx, req)
+}
+
+func (l *link) do(ctx context.Context, req *Request) (*Response, error) {
+	s, err := l.openStream(req.Class)
+	if err != nil {
+		return nil, &TransportError{Err: err}
+	}
+	body := bytes.NewReader(req.Body)
+	data, end, hash, _ := firstPart(body)
+	f := &frame{Type: frameRequest, Stream: s.id, ToAcceptor: true, Kind: req.Kind, Head: req.Head, Data: data, End: end}
+	if end {
+		f.Sum = hash.Sum64()
+	}
+	out, err := l.conn(req.Class).send(ctx, f)
+	if err != nil {
+		l.closeStream(s)
+		return nil, &TransportError{Err: err}
+	}
+	if !end {
+		go func() {
+			_ = sendBody(s.ctx, body, hash, s.credits, func(f *frame) error { return l.sendChunk(s, f) })
+		}()
+	}
+	return l.await(ctx, s, out)
+}
+
+func (l *link) sendChunk(s *stream, f *frame) error {
+	f.Stream = s.id
+	f.ToAcceptor = l.dialer
+	return l.post(s.ctx, Bulk, f)
+}
+
+func (l *link) await(ctx context.Context, s *stream, out *outgoing) (*Response, error) {
+	select {
+	case f := <-s.answer:
+		return l.response(s, f), nil
+	case <-l.ctx.Done():
+		l.closeStream(s)
+		return nil, &TransportError{Sent: !out.abandon(), Err: l.failure()}
+	case <-ctx.Done():
+		if out.abandon() {
+			l.closeStream(s)
+			return nil, &TransportError{Err: ctx.Err()}
+		}
+		l.cancelStream(s)
+		return nil, &TransportError{Sent: true, Err: ctx.Err()}
+	}
+}
+
+func (l *link) response(s *stream, f *frame) *Response {
+	resp := &Response{From: l.peer, Head: f.Head}
+	if f.End {
+		l.closeStream(s)
+		resp.Body = io.NopCloser(bytes.NewReader(f.Data))
+		return resp
+	}
+	resp.Body = &streamBody{bodyReceiver: s.receiver, done: func() { l.closeStream(s) }}
+	return resp
+}
+
+// streamBody ends its stream when it is closed.
+type streamBody struct {
+	*bodyReceiver
+	done func()
+}
+
+// Close implements io.Closer.
+func (b *streamBody) Close() error {
+	err := b.bodyReceiver.Close()
+	b.done()
+	return err
+}
+
+// connect returns a link to the peer with a connection of the class.
+func (m *Mesh) connect(ctx context.Context, peer Peer, class Class) (*link, error) {
+	l := m.dialedLink(peer.Address)
+	if class != Bulk {
+		if err := l.ensure(ctx, peer, Bulk); err != nil {
+			return nil, err
+		}
+	}
+	return l, l.ensure(ctx, peer, class)
+}
+
+func (m *Mesh) dialedLink(address string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l, ok := m.dialed[address]; ok {
+		return l
+	}
+	l := newLink(m, true, nil)
+	l.onClose = func() { m.forgetDialed(address, l) }
+	m.dialed[address] = l
+	return l
+}
+
+func (m *Mesh) forgetDialed(address string, l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dialed[address] == l {
+		delete(m.dialed, address)
+	}
+}
+
+// ensure dials the connection of the class unless the link has it.
+func (l *link) ensure(ctx context.Context, peer Peer, class Class) error {
+	if l.conn(class) != nil {
+		return nil
+	}
+	l.dialing[class].Lock()
+	defer l.dialing[class].Unlock()
+	if l.conn(class) != nil {
+		return nil
+	}
+	err := l.dial(ctx, peer, class)
+	if err != nil {
+		l.close(err)
+	}
+	return err
+}
+
+func (l *link) dial(ctx context.Context, peer Peer, class Class) error {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	opts := &websocket.DialOptions{HTTPClient: l.mesh.http, CompressionMode: websocket.CompressionDisabled}
+	ws, _, err := websocket.Dial(ctx, "ws://"+peer.Address+Path, opts) //nolint:bodyclose // the websocket package owns the body
+	if err != nil {
+		return errors.Wrapf(err, "dial %s", peer.Address)
+	}
+	ws.SetReadLimit(handshakeMaxBytes)
+	identity, err := l.mesh.dialHandshake(ctx, ws, l.id, class)
+	if err == nil && peer.VM != "" && identity.VM != peer.VM {
+		err = errors.Errorf("%s is VM %s, not %s", peer.Address, identity.VM, peer.VM)
+	}
+	if err != nil {
+		_ = ws.CloseNow()
+		return err
+	}
+	return l.add(newConn(ws, class, l), identity)
+}
+
+func newHTTPClient(localIP string) *http.Client {
+	dialer := &net.Dialer{Timeout: handshakeTimeout, LocalAddr: localAddr(localIP)}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+}
+
+func localAddr(ip string) net.Addr {
+	parsed := net.ParseIP(ip)
+	if parsed == nil || parsed.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: parsed}
+}
--- /dev/null
+++ b/mesh/conn.go
@@ -0,0 +1,140 @@
+package mesh
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/kernel"
+)
+
+const (
+	sendRingFrames = 256
+	writeTimeout   = 3 * time.Second
+)
+
+// States of an outgoing frame. A frame moves from queued to exactly one of
+// the other two, which settles whether the peer may have seen it.
+const (
+	frameQueued int32 = iota
+	frameWriting
+	frameAbandoned
+)
+
+// outgoing is a frame on its way to the writer.
+type outgoing struct {
+	frame *frame
+	state atomic.Int32
+}
+
+// abandon reports whether the frame was withdrawn before it was written.
+func (o *outgoing) abandon() bool {
+	return o.state.CompareAndSwap(frameQueued, frameAbandoned)
+}
+
+// conn is one WebSocket connection of a link, with a goroutine each for
+// reading, writing and pinging.
+type conn struct {
+	ws    *websocket.Conn
+	class Class
+	link  *link
+	out   *kernel.Ring[*outgoing]
+}
+
+func newConn(ws *websocket.Conn, class Class, l *link) *conn {
+	ws.SetReadLimit(maxFrameBytes)
+	full := l.mesh.metrics.ringFull.WithLabelValues(class.String(), kernel.Wait.String())
+	return &conn{ws: ws, class: class, link: l, out: kernel.NewRing[*outgoing](sendRingFrames, kernel.Wait, full)}
+}
+
+// start runs the connection until the link closes.
+func (c *conn) start() {
+	go c.run("write", c.write)
+	go c.run("read", c.read)
+	go c.run("ping", c.ping)
+}
+
+func (c *conn) run(duty string, loop func(context.Context) error) {
+	err := loop(c.link.ctx)
+	c.link.close(errors.Wrapf(err, "%s on %s connection", duty, c.class))
+	_ = c.ws.CloseNow()
+}
+
+func (c *conn) write(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case o := <-c.out.C():
+			if !o.state.CompareAndSwap(frameQueued, frameWriting) {
+				continue
+			}
+			if err := c.writeFrame(ctx, o.frame); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (c *conn) writeFrame(ctx context.Context, f *frame) error {
+	data, err := Encode(f)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	c.link.mesh.metrics.sentBytes.WithLabelValues(c.class.String()).Add(float64(len(data)))
+	return c.ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+func (c *conn) read(ctx context.Context) error {
+	for {
+		kind, data, err := c.ws.Read(ctx)
+		if err != nil {
+			return err
+		}
+		if kind != websocket.MessageBinary {
+			return errors.New("peer sent a text message")
+		}
+		c.link.mesh.metrics.receivedBytes.WithLabelValues(c.class.String()).Add(float64(len(data)))
+		f, err := decodeFrame(data)
+		if err != nil {
+			return err
+		}
+		c.link.receive(c, f)
+	}
+}
+
+// ping finds connections that went silent.
+func (c *conn) ping(ctx context.Context) error {
+	ticker := time.NewTicker(c.link.mesh.pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if err := c.pingOnce(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *conn) pingOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.link.mesh.pingTimeout)
+	defer cancel()
+	return c.ws.Ping(ctx)
+}
+
+// send queues a frame and returns it, so that it can be abandoned.
+func (c *conn) send(ctx context.Context, f *frame) (*outgoing, error) {
+	o := &outgoing{frame: f}
+	if err := c.link.ctx.Err(); err != nil {
+		return nil, c.link.failure()
+	}
+	return o, c.out.Push(ctx, o)
+}
--- /dev/null
+++ b/mesh/link.go
@@ -0,0 +1,218 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/zeebo/xxh3"
+)
+
+// link is the set of connections between a dialing and an accepting node.
+// When one connection fails, the whole link is closed and dialed anew.
+type link struct {
+	// id is chosen at random by the dialer.
+	id     uint64
+	mesh   *Mesh
+	dialer bool
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	peer    Identity
+	conns   [classes]*conn
+	streams map[uint64]*stream
+	next    uint64
+	err     error
+	onClose func()
+
+	// dialing serializes the dials of each class.
+	dialing [classes]sync.Mutex
+}
+
+// stream is one request on a link and its answer.
+type stream struct {
+	id     uint64
+	class  Class
+	answer chan *frame
+	// receiver is the body that arrives, nil if it came inline.
+	receiver *bodyReceiver
+	credits  *credits
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+func newLink(m *Mesh, dialer bool, onClose func()) *link {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &link{
+		id:   binary.BigEndian.Uint64(newNonce()),
+		mesh: m, dialer: dialer, ctx: ctx, cancel: cancel,
+		streams: map[uint64]*stream{}, onClose: onClose,
+	}
+}
+
+// add puts a connection that passed the handshake into use.
+func (l *link) add(c *conn, peer Identity) error {
+	l.mu.Lock()
+	if l.err != nil || l.conns[c.class] != nil {
+		l.mu.Unlock()
+		_ = c.ws.CloseNow()
+		return errors.New("link is closed or has this connection already")
+	}
+	l.conns[c.class] = c
+	l.peer = peer
+	l.mu.Unlock()
+	c.start()
+	return nil
+}
+
+func (l *link) conn(class Class) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns[class]
+}
+
+// failure returns why the link closed.
+func (l *link) failure() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err == nil {
+		return errors.New("link is closed")
+	}
+	return l.err
+}
+
+// close ends the link and fails everything on it. The first reason counts.
+func (l *link) close(reason error) {
+	l.mu.Lock()
+	if l.err != nil {
+		l.mu.Unlock()
+		return
+	}
+	l.err = reason
+	streams := l.streams
+	l.streams = map[uint64]*stream{}
+	l.mu.Unlock()
+	l.cancel()
+	for _, s := range streams {
+		s.cancel()
+		if s.receiver != nil {
+			s.receiver.fail(reason)
+		}
+	}
+	if l.onClose != nil {
+		l.onClose()
+	}
+}
+
+func (l *link) openStream(class Class) (*stream, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err != nil {
+		return nil, l.err
+	}
+	l.next++
+	s := &stream{id: l.next, class: class, answer: make(chan *frame, 1), credits: newCredits()}
+	s.ctx, s.cancel = context.WithCancel(l.ctx)
+	l.streams[s.id] = s
+	return s, nil
+}
+
+func (l *link) stream(id uint64) *stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.streams[id]
+}
+
+func (l *link) closeStream(s *stream) {
+	s.cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.streams, s.id)
+}
+
+// post queues a frame on the connection of the class, without waiting for it
+// to be written.
+func (l *link) post(ctx context.Context, class Class, f *frame) error {
+	c := l.conn(class)
+	if c == nil {
+		return errors.Errorf("link has no %s connection", class)
+	}
+	_, err := c.send(ctx, f)
+	return err
+}
+
+// receive handles one frame on the goroutine of the connection's reader. It
+// must not block.
+func (l *link) receive(c *conn, f *frame) {
+	if f.Type == frameRequest {
+		l.receiveRequest(c, f)
+		return
+	}
+	s := l.stream(f.Stream)
+	if s == nil {
+		return
+	}
+	switch f.Type {
+	case frameAnswer:
+		l.receiveAnswer(s, f)
+	case frameChunk:
+		if s.receiver != nil && f.ToAcceptor != l.dialer {
+			s.receiver.push(f.Data, f.End, f.Sum)
+		}
+	case frameCredit:
+		s.credits.add(f.Credit)
+	case frameCancel:
+		s.cancel()
+	case frameAbort:
+		if s.receiver != nil {
+			s.receiver.fail(errors.New(f.Message))
+		}
+	}
+}
+
+func (l *link) receiveAnswer(s *stream, f *frame) {
+	if !f.End {
+		s.receiver = l.newReceiver(s, f.Data, func() { l.cancelStream(s) })
+	}
+	select {
+	case s.answer <- f:
+	default:
+	}
+	if s.receiver != nil {
+		l.grant(s, windowBytes)
+	}
+}
+
+// newReceiver returns the receiver of a chunked body of the stream.
+func (l *link) newReceiver(s *stream, first []byte, cancel func()) *bodyReceiver {
+	return newBodyReceiver(first, func(n int) { l.grant(s, n) }, cancel)
+}
+
+func (l *link) grant(s *stream, n int) {
+	_ = l.post(l.ctx, Bulk, &frame{Type: frameCredit, Stream: s.id, ToAcceptor: l.dialer, Credit: n})
+}
+
+func (l *link) cancelStream(s *stream) {
+	_ = l.post(l.ctx, s.class, &frame{Type: frameCancel, Stream: s.id, ToAcceptor: true})
+	l.closeStream(s)
+}
+
+// firstPart reads the inline part of a body and hashes it.
+func firstPart(body io.Reader) (data []byte, end bool, hash *xxh3.Hasher, err error) {
+	hash = xxh3.New()
+	if body == nil {
+		return nil, true, hash, nil
+	}
+	var buffer bytes.Buffer
+	n, err := io.CopyN(&buffer, body, InlineBytes)
+	data = buffer.Bytes()
+	_, _ = hash.Write(data)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, false, hash, err
+	}
+	return data, n < InlineBytes, hash, nil
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,136 @@
+package mesh
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const (
+	defaultPingInterval = 500 * time.Millisecond
+	defaultPingTimeout  = 800 * time.Millisecond
+)
+
+// Options are the inputs of New.
+type Options struct {
+	Self       Identity
+	Secret     string
+	Log        log.Interface
+	Registerer prometheus.Registerer
+	// LocalIP is the address that connections are dialed from; empty for any.
+	LocalIP string
+	// PingInterval and PingTimeout find silent connections; zero for defaults.
+	PingInterval time.Duration
+	PingTimeout  time.Duration
+}
+
+// Mesh dials and accepts links. It is safe for concurrent use.
+type Mesh struct {
+	self         Identity
+	secret       []byte
+	log          log.Interface
+	metrics      *metrics
+	http         *http.Client
+	pingInterval time.Duration
+	pingTimeout  time.Duration
+
+	mu       sync.Mutex
+	dialed   map[string]*link
+	accepted map[linkKey]*link
+	handlers map[Kind]Handler
+}
+
+// New returns a mesh without connections.
+func New(opts Options) (*Mesh, error) {
+	if len(opts.Secret) < minimumSecretBytes {
+		return nil, errors.Errorf("fleet secret has %d bytes; at least %d are needed", len(opts.Secret), minimumSecretBytes)
+	}
+	m := &Mesh{
+		self:         opts.Self,
+		secret:       []byte(opts.Secret),
+		log:          opts.Log,
+		metrics:      newMetrics(opts.Registerer),
+		http:         newHTTPClient(opts.LocalIP),
+		pingInterval: opts.PingInterval,
+		pingTimeout:  opts.PingTimeout,
+		dialed:       map[string]*link{},
+		accepted:     map[linkKey]*link{},
+		handlers:     map[Kind]Handler{},
+	}
+	if m.pingInterval == 0 {
+		m.pingInterval = defaultPingInterval
+	}
+	if m.pingTimeout == 0 {
+		m.pingTimeout = defaultPingTimeout
+	}
+	return m, nil
+}
+
+// Self returns this node's identity.
+func (m *Mesh) Self() Identity { return m.self }
+
+// Handle sets the handler of a kind of requests. It is called before the mesh
+// accepts connections.
+func (m *Mesh) Handle(kind Kind, handler Handler) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.handlers[kind] = handler
+}
+
+func (m *Mesh) handler(kind Kind) Handler {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.handlers[kind]
+}
+
+// Close ends all links.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	var links []*link
+	for _, l := range m.dialed {
+		links = append(links, l)
+	}
+	for _, l := range m.accepted {
+		links = append(links, l)
+	}
+	m.mu.Unlock()
+	for _, l := range links {
+		l.close(errors.New("node is stopping"))
+	}
+}
+
+type metrics struct {
+	sentBytes         *prometheus.CounterVec
+	receivedBytes     *prometheus.CounterVec
+	ringFull          *prometheus.CounterVec
+	handshakeFailures prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		sentBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangomast_mesh_sent_bytes_total",
+			Help: "Bytes of frames sent to other nodes, by class of connection.",
+		}, []string{"class"}),
+		receivedBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangomast_mesh_received_bytes_total",
+			Help: "Bytes of frames received from other nodes, by class of connection.",
+		}, []string{"class"}),
+		ringFull: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangomast_mesh_ring_full_total",
+			Help: "Frames that found a connection's send ring full, by class and policy.",
+		}, []string{"class", "policy"}),
+		handshakeFailures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mangomast_mesh_handshake_failures_total",
+			Help: "Connections refused because their handshake was invalid.",
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.sentBytes, m.receivedBytes, m.ringFull, m.handshakeFailures)
+	}
+	return m
+}
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,150 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+const testSecret = "0123456789abcdef"
+
+func newTestMesh(t *testing.T, vm, secret string) (*Mesh, string) {
+	t.Helper()
+	m, err := New(Options{
+		Self:   Identity{VM: vm, Incarnation: 1, FailureDomain: "d", Region: "r"},
+		Secret: secret,
+		Log:    &log.Logger{Handler: discard.New()},
+	})
+	assert.NilError(t, err)
+	server := httptest.NewServer(m)
+	t.Cleanup(func() {
+		m.Close()
+		server.Close()
+	})
+	return m, strings.TrimPrefix(server.URL, "http://")
+}
+
+func echoHandler(_ context.Context, _ Identity, head, body []byte) ([]byte, io.ReadCloser) {
+	return head, io.NopCloser(bytes.NewReader(body))
+}
+
+func TestDoCarriesBodiesOfAnySize(t *testing.T) {
+	server, address := newTestMesh(t, "server", testSecret)
+	server.Handle(KindCall, echoHandler)
+	client, _ := newTestMesh(t, "client", testSecret)
+	for _, size := range []int{0, 1, InlineBytes - 1, InlineBytes, InlineBytes + 1, 3 << 20} {
+		body := make([]byte, size)
+		for i := range body {
+			body[i] = byte(rand.Uint32())
+		}
+		request := &Request{Kind: KindCall, Class: Calls, Head: []byte("head"), Body: body}
+		resp, err := client.Do(t.Context(), Peer{VM: "server", Address: address}, request)
+		assert.NilError(t, err)
+		got, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Assert(t, bytes.Equal(got, body), "size %d", size)
+		assert.Equal(t, string(resp.Head), "head")
+	}
+}
+
+func TestDoRefusesWrongPeer(t *testing.T) {
+	_, address := newTestMesh(t, "server", testSecret)
+	client, _ := newTestMesh(t, "client", testSecret)
+	stranger, _ := newTestMesh(t, "stranger", "another secret for the fleet")
+	for name, do := range map[string]func() error{
+		"wrong VM name": func() error {
+			_, err := client.Do(t.Context(), Peer{VM: "other", Address: address}, &Request{Kind: KindCall})
+			return err
+		},
+		"wrong secret": func() error {
+			_, err := stranger.Do(t.Context(), Peer{Address: address}, &Request{Kind: KindCall})
+			return err
+		},
+	} {
+		var transport *TransportError
+		assert.Assert(t, errors.As(do(), &transport), name)
+		assert.Assert(t, !transport.Sent, name)
+	}
+}
+
+func TestDoTellsSentFromNotSent(t *testing.T) {
+	server, address := newTestMesh(t, "server", testSecret)
+	started := make(chan struct{})
+	server.Handle(KindCall, func(ctx context.Context, _ Identity, _, _ []byte) ([]byte, io.ReadCloser) {
+		close(started)
+		<-ctx.Done()
+		return nil, nil
+	})
+	client, _ := newTestMesh(t, "client", testSecret)
+	go func() {
+		<-started
+		server.Close()
+	}()
+	_, err := client.Do(t.Context(), Peer{Address: address}, &Request{Kind: KindCall, Class: Calls})
+	var transport *TransportError
+	assert.Assert(t, errors.As(err, &transport))
+	assert.Assert(t, transport.Sent)
+}
+
+func TestCancelReachesHandler(t *testing.T) {
+	server, address := newTestMesh(t, "server", testSecret)
+	cancelled := make(chan struct{})
+	server.Handle(KindCall, func(ctx context.Context, _ Identity, _, _ []byte) ([]byte, io.ReadCloser) {
+		<-ctx.Done()
+		close(cancelled)
+		return nil, nil
+	})
+	client, _ := newTestMesh(t, "client", testSecret)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Do(ctx, Peer{Address: address}, &Request{Kind: KindCall, Class: Calls})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	select {
+	case <-cancelled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("handler was not cancelled")
+	}
+}
+
+func TestGarbageInHelloLeavesTheNodeUp(t *testing.T) {
+	server, address := newTestMesh(t, "server", testSecret)
+	server.Handle(KindCall, echoHandler)
+	for _, garbage := range [][]byte{nil, {0xff}, bytes.Repeat([]byte{0x9f}, 100), make([]byte, 8<<10)} {
+		ws, _, err := websocket.Dial(t.Context(), "ws://"+address+Path, nil) //nolint:bodyclose // the websocket package owns the body
+		assert.NilError(t, err)
+		_, _, err = ws.Read(t.Context())
+		assert.NilError(t, err)
+		assert.NilError(t, ws.Write(t.Context(), websocket.MessageBinary, garbage))
+		_, _, err = ws.Read(t.Context())
+		assert.Assert(t, err != nil)
+	}
+	client, _ := newTestMesh(t, "client", testSecret)
+	resp, err := client.Do(t.Context(), Peer{Address: address}, &Request{Kind: KindCall, Class: Calls})
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	seed, err := Encode(&frame{Type: frameRequest, Stream: 3, Head: []byte("h"), Data: []byte("d"), End: true})
+	assert.NilError(f, err)
+	f.Add(seed)
+	f.Add([]byte{0x9f, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if decoded, err := decodeFrame(data); err == nil {
+			_, err := Encode(decoded)
+			assert.NilError(t, err)
+		}
+	})
+}
--- /dev/null
+++ b/mesh/server.go
@@ -0,0 +1,129 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// Path is where nodes accept mesh connections.
+const Path = "/mesh"
+
+// Handler serves the requests of one kind. It is called on a goroutine of its
+// own for each request. The context ends when the dialer cancels or the link
+// is lost. The returned body, which may be nil, is read and closed by the mesh.
+type Handler func(ctx context.Context, from Identity, head, body []byte) (answerHead []byte, answerBody io.ReadCloser)
+
+// linkKey names an accepted link.
+type linkKey struct {
+	vm          string
+	incarnation uint64
+	link        uint64
+}
+
+// ServeHTTP accepts a connection from another node.
+func (m *Mesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		m.log.WithError(err).Debug("refused a mesh connection")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), handshakeTimeout)
+	defer cancel()
+	ws.SetReadLimit(handshakeMaxBytes)
+	h, err := m.acceptHandshake(ctx, ws)
+	if err != nil {
+		m.metrics.handshakeFailures.Inc()
+		m.log.WithError(err).WithField("remote", r.RemoteAddr).Warn("refused a mesh handshake")
+		_ = ws.Close(websocket.StatusPolicyViolation, "handshake refused")
+		return
+	}
+	l := m.acceptedLink(linkKey{vm: h.Identity.VM, incarnation: h.Identity.Incarnation, link: h.Link})
+	if err := l.add(newConn(ws, h.Class, l), h.Identity); err != nil {
+		m.log.WithError(err).Debug("dropped a mesh connection")
+	}
+	<-l.ctx.Done()
+}
+
+// acceptedLink returns the link that a connection joins.
+func (m *Mesh) acceptedLink(key linkKey) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l, ok := m.accepted[key]; ok {
+		return l
+	}
+	l := newLink(m, false, nil)
+	l.onClose = func() { m.forgetAccepted(key, l) }
+	m.accepted[key] = l
+	return l
+}
+
+func (m *Mesh) forgetAccepted(key linkKey, l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.accepted[key] == l {
+		delete(m.accepted, key)
+	}
+}
+
+func (l *link) receiveRequest(c *conn, f *frame) {
+	if l.dialer {
+		l.close(errors.New("acceptor sent a request"))
+		return
+	}
+	s := &stream{id: f.Stream, class: c.class, credits: newCredits()}
+	s.ctx, s.cancel = context.WithCancel(l.ctx)
+	if !f.End {
+		s.receiver = l.newReceiver(s, f.Data, s.cancel)
+	}
+	l.mu.Lock()
+	l.streams[s.id] = s
+	l.mu.Unlock()
+	go l.serve(s, f)
+}
+
+func (l *link) serve(s *stream, f *frame) {
+	defer l.closeStream(s)
+	body := f.Data
+	if s.receiver != nil {
+		l.grant(s, windowBytes)
+		whole, err := io.ReadAll(io.LimitReader(s.receiver, MaxRequestBytes+1))
+		if err != nil || len(whole) > MaxRequestBytes {
+			l.close(errors.Errorf("request body from %s is broken or too large", l.peer.VM))
+			return
+		}
+		body = whole
+	}
+	handler := l.mesh.handler(f.Kind)
+	if handler == nil {
+		l.close(errors.Errorf("request of unknown kind %d", f.Kind))
+		return
+	}
+	head, answer := handler(s.ctx, l.peer, f.Head, body)
+	if answer == nil {
+		answer = io.NopCloser(bytes.NewReader(nil))
+	}
+	defer answer.Close()
+	l.sendAnswer(s, head, answer)
+}
+
+func (l *link) sendAnswer(s *stream, head []byte, body io.Reader) {
+	data, end, hash, err := firstPart(body)
+	f := &frame{Type: frameAnswer, Stream: s.id, Head: head, Data: data, End: end}
+	if end {
+		f.Sum = hash.Sum64()
+	}
+	if postErr := l.post(l.ctx, s.class, f); postErr != nil || (end && err == nil) {
+		return
+	}
+	if err == nil {
+		err = sendBody(s.ctx, body, hash, s.credits, func(f *frame) error { return l.sendChunk(s, f) })
+	}
+	if err != nil {
+		_ = l.post(l.ctx, Bulk, &frame{Type: frameAbort, Stream: s.id, Message: err.Error()})
+	}
+}
--- /dev/null
+++ b/mesh/typed.go
@@ -0,0 +1,77 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// control is the head of an answer to a typed control message.
+type control struct {
+	Error string `cbor:"1,keyasint,omitempty"`
+}
+
+// RemoteError is a handler's error on the other node.
+type RemoteError struct {
+	Message string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string { return "peer refused: " + e.Message }
+
+// Typed turns a function over typed messages into a Handler. The messages are
+// carried in the body, so that large ones do not delay other control messages.
+func Typed[Req, Resp any](serve func(ctx context.Context, from Identity, request Req) (Resp, error)) Handler {
+	return func(ctx context.Context, from Identity, _, body []byte) ([]byte, io.ReadCloser) {
+		var request Req
+		if err := Decode(body, &request); err != nil {
+			return controlAnswer(err), nil
+		}
+		response, err := serve(ctx, from, request)
+		if err != nil {
+			return controlAnswer(err), nil
+		}
+		data, err := Encode(response)
+		if err != nil {
+			return controlAnswer(err), nil
+		}
+		return controlAnswer(nil), io.NopCloser(bytes.NewReader(data))
+	}
+}
+
+func controlAnswer(err error) []byte {
+	var answer control
+	if err != nil {
+		answer.Error = err.Error()
+	}
+	data, _ := Encode(answer)
+	return data
+}
+
+// Exchange sends a typed control message and decodes the answer. The error is
+// a *TransportError or a *RemoteError, or wraps ErrBodyBroken.
+func (m *Mesh) Exchange(ctx context.Context, peer Peer, kind Kind, request, response any) error {
+	data, err := Encode(request)
+	if err != nil {
+		return err
+	}
+	answer, err := m.Do(ctx, peer, &Request{Kind: kind, Class: Control, Body: data})
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	var head control
+	if err := Decode(answer.Head, &head); err != nil {
+		return err
+	}
+	if head.Error != "" {
+		return &RemoteError{Message: head.Error}
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return errors.Wrap(err, "read control answer")
+	}
+	return Decode(body, response)
+}
--- /dev/null
+++ b/plugin/admin/admin.go
@@ -0,0 +1,83 @@
+// Package admin runs the operators' listener: metrics and the state of the
+// node. Other modules add their pages to its *echo.Echo.
+package admin
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/httpserver"
+	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/membership"
+	configplugin "github.com/mangomast/mangomast/plugin/config"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
+)
+
+// ID is the module's ID.
+const ID kernel.ID = "admin"
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    ID,
+		Needs: []kernel.ID{membershipplugin.ID, configplugin.ID},
+		New:   func() kernel.Module { return &Module{} },
+	})
+}
+
+// Module is the operators' listener.
+type Module struct {
+	members membership.Source
+	config  config.Source
+	server  *httpserver.Server
+}
+
+var (
+	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Starter     = (*Module)(nil)
+	_ kernel.ActorSource = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
+		return err
+	}
+	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
+		return err
+	}
+	e := echo.New()
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(ctx.Registry, promhttp.HandlerOpts{})))
+	e.GET("/api/status", m.serveStatus)
+	m.server = httpserver.New(ctx.Node.Listen.Admin, e)
+	kernel.Provide(ctx, e)
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error { return m.server.Listen() }
+
+// Actors implements kernel.ActorSource.
+func (m *Module) Actors() []kernel.Actor {
+	return []kernel.Actor{{Name: "serve", Run: m.server.Run}}
+}
+
+// Status is the node's view of the fleet, as JSON.
+type Status struct {
+	VM       string             `json:"vm"`
+	Revision int64              `json:"revision"`
+	Fresh    bool               `json:"fresh"`
+	Members  []membership.Entry `json:"members"`
+}
+
+func (m *Module) serveStatus(c echo.Context) error {
+	status := Status{VM: m.members.Self().VM, Fresh: m.config.Fresh(), Members: m.members.View().All()}
+	if snapshot := m.config.Snapshot(); snapshot != nil {
+		status.Revision = snapshot.Revision
+	}
+	return c.JSON(http.StatusOK, status)
+}
--- /dev/null
+++ b/plugin/config/config.go
@@ -0,0 +1,134 @@
+// Package config keeps the node's configuration up to date and provides
+// config.Source to the other modules.
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/membership"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
+	storeplugin "github.com/mangomast/mangomast/plugin/store"
+	"github.com/mangomast/mangomast/store"
+)
+
+// ID is the module's ID.
+const ID kernel.ID = "config"
+
+const (
+	retryDelay  = 300 * time.Millisecond
+	readTimeout = 2 * time.Second
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    ID,
+		Needs: []kernel.ID{storeplugin.ID, membershipplugin.ID},
+		New:   func() kernel.Module { return &Module{} },
+	})
+}
+
+// Module reads and watches the document in the store.
+type Module struct {
+	store     store.Store
+	announcer membership.Announcer
+	key       string
+	clock     clockwork.Clock
+	log       log.Interface
+	current   atomic.Pointer[config.Snapshot]
+}
+
+var (
+	_ kernel.Module      = (*Module)(nil)
+	_ kernel.ActorSource = (*Module)(nil)
+	_ config.Source      = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.store, err = kernel.Require[store.Store](ctx); err != nil {
+		return err
+	}
+	if m.announcer, err = kernel.Require[membership.Announcer](ctx); err != nil {
+		return err
+	}
+	m.key = ctx.Node.Store.Prefix + config.DocumentKey
+	m.clock, m.log = ctx.Clock, ctx.Log
+	kernel.Provide[config.Source](ctx, m)
+	return nil
+}
+
+// Snapshot implements config.Source.
+func (m *Module) Snapshot() *config.Snapshot { return m.current.Load() }
+
+// Fresh implements config.Source.
+func (m *Module) Fresh() bool { return m.current.Load() != nil }
+
+// Accepted implements config.Source.
+func (m *Module) Accepted() int64 {
+	if current := m.current.Load(); current != nil {
+		return current.Revision
+	}
+	return 0
+}
+
+// Actors implements kernel.ActorSource.
+func (m *Module) Actors() []kernel.Actor {
+	return []kernel.Actor{{Name: "watch", Run: m.run}}
+}
+
+func (m *Module) run(ctx context.Context) error {
+	for {
+		if err := m.follow(ctx); ctx.Err() == nil {
+			m.log.WithError(err).Warn("configuration is not being watched; trying again")
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-m.clock.After(retryDelay):
+		}
+	}
+}
+
+// follow reads the document and takes in changes until the watch ends.
+func (m *Module) follow(ctx context.Context) error {
+	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	listing, err := m.store.Get(readCtx, m.key)
+	cancel()
+	if err != nil {
+		return err
+	}
+	for _, record := range listing.Records {
+		m.accept(record)
+	}
+	return m.store.Watch(ctx, m.key, listing.Revision+1, func(batch store.WatchBatch) {
+		for _, event := range batch.Events {
+			if !event.Deleted {
+				m.accept(event.Record)
+			}
+		}
+	})
+}
+
+func (m *Module) accept(record store.Record) {
+	if current := m.current.Load(); current != nil && record.ModRevision <= current.Revision {
+		return
+	}
+	doc := &config.Document{}
+	if err := json.Unmarshal(record.Value, doc); err != nil {
+		m.log.WithError(errors.Wrap(err, "decode document")).Error("configuration in the store is invalid; keeping the last one")
+		return
+	}
+	m.current.Store(config.NewSnapshot(doc, record.ModRevision))
+	m.announcer.Announce(func(e *membership.Entry) { e.ConfigRevision = record.ModRevision })
+	m.log.WithField("revision", record.ModRevision).Info("configuration is in force")
+}
--- /dev/null
+++ b/plugin/egress/egress.go
@@ -0,0 +1,143 @@
+// Package egress serves the local upstream on loopback: it takes the
+// upstream's announcements and its calls to other services.
+package egress
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/httpcall"
+	"github.com/mangomast/mangomast/internal/httpserver"
+	"github.com/mangomast/mangomast/kernel"
+	configplugin "github.com/mangomast/mangomast/plugin/config"
+	"github.com/mangomast/mangomast/plugin/dispatch"
+	"github.com/mangomast/mangomast/plugin/inbound"
+)
+
+// ID is the module's ID.
+const ID kernel.ID = "egress"
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    ID,
+		Needs: []kernel.ID{configplugin.ID, dispatch.ID, inbound.ID},
+		New:   func() kernel.Module { return &Module{} },
+	})
+}
+
+// Module is the loopback listener for the local upstream.
+type Module struct {
+	clock      clockwork.Clock
+	config     config.Source
+	dispatcher dispatch.Dispatcher
+	running    *call.Registry
+	server     *httpserver.Server
+}
+
+var (
+	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Starter     = (*Module)(nil)
+	_ kernel.ActorSource = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
+		return err
+	}
+	if m.dispatcher, err = kernel.Require[dispatch.Dispatcher](ctx); err != nil {
+		return err
+	}
+	if m.running, err = kernel.Require[*call.Registry](ctx); err != nil {
+		return err
+	}
+	local, err := kernel.Require[*inbound.Module](ctx)
+	if err != nil {
+		return err
+	}
+	m.clock = ctx.Clock
+	e := echo.New()
+	local.RegisterLoopback(e)
+	e.Any("/*", m.serve)
+	m.server = httpserver.New(ctx.Node.Listen.Egress, e)
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error { return m.server.Listen() }
+
+// Actors implements kernel.ActorSource.
+func (m *Module) Actors() []kernel.Actor {
+	return []kernel.Actor{{Name: "serve", Run: m.server.Run}}
+}
+
+// serve sends one call of the upstream on behalf of the request it serves.
+func (m *Module) serve(c echo.Context) error {
+	parent, ok := m.running.Lookup(c.Request().Header.Get(call.HeaderContext))
+	if !ok {
+		reply := call.Refuse(call.CodeForbidden, "the context token names no running request")
+		return httpcall.WriteReply(c, "", reply, nil, 0)
+	}
+	head, route, refusal := m.head(c.Request(), parent)
+	if refusal != nil {
+		return httpcall.WriteReply(c, parent.Head.ID, refusal, nil, 0)
+	}
+	body, refusal := httpcall.ReadBody(c, route.MaxRequestBytes)
+	if refusal != nil {
+		return httpcall.WriteReply(c, head.ID, refusal, nil, 0)
+	}
+	ctx, cancel := bothContexts(c.Request().Context(), parent.Context)
+	defer cancel()
+	head.RetryBudget = parent.TakeRetries(route.RetryBudget)
+	reply, answer := m.dispatcher.Dispatch(ctx, head, body)
+	parent.ReturnRetries(head.RetryBudget - reply.RetriesUsed)
+	return httpcall.WriteReply(c, head.ID, reply, answer, route.MaxAnswerBytes)
+}
+
+// head builds the head of a call made on behalf of the parent request.
+func (m *Module) head(r *http.Request, parent *call.Running) (*call.Head, *config.Route, *call.Reply) {
+	snapshot := m.config.Snapshot()
+	if snapshot == nil {
+		return nil, nil, call.Refuse(call.CodeStaleConfig, "the node has no configuration yet")
+	}
+	route := snapshot.Route(r.Method, r.URL.Path)
+	if route == nil {
+		return nil, nil, call.Refuse(call.CodeNoRoute, "no route matches the call")
+	}
+	if !route.Allows(parent.Head.Organisation) {
+		return nil, nil, call.Refuse(call.CodeForbidden, "the route is not open to the organisation")
+	}
+	header := r.Header.Clone()
+	call.StripHeader(header)
+	return &call.Head{
+		ID:           parent.NextChildID(),
+		Root:         parent.Head.Root,
+		Organisation: parent.Head.Organisation,
+		Route:        route.ID,
+		Service:      route.Service,
+		Importance:   parent.Head.Importance,
+		Rank:         parent.Head.Rank,
+		Timeout:      min(route.Deadline.Std(), parent.Deadline.Sub(m.clock.Now())),
+		Idempotent:   route.Idempotent,
+		Depth:        parent.Head.Depth + 1,
+		Method:       r.Method,
+		Target:       r.URL.RequestURI(),
+		Header:       call.FieldsOf(header),
+	}, route, nil
+}
+
+// bothContexts returns a context that ends with either of two.
+func bothContexts(a, b context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(a)
+	stop := context.AfterFunc(b, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
--- /dev/null
+++ b/plugin/inbound/inbound.go
@@ -0,0 +1,145 @@
+// Package inbound is the only way into the local upstream. It admits, runs or
+// refuses each request that other nodes, or this node's own ingress, send.
+package inbound
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/admission"
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
+	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
+	"github.com/mangomast/mangomast/settings"
+)
+
+// ID is the module's ID.
+const ID kernel.ID = "inbound"
+
+const (
+	upstreamDialTimeout = 1 * time.Second
+	// queuePerSlot is the length of the queue for each slot.
+	queuePerSlot = 4
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    ID,
+		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID},
+		New:   func() kernel.Module { return &Module{} },
+	})
+}
+
+// Module serves requests on the local upstream.
+type Module struct {
+	clock    clockwork.Clock
+	log      log.Interface
+	running  *call.Registry
+	upstream *upstreamState
+	// serving is replaced when the upstream's address or size changes.
+	serving atomic.Pointer[serving]
+}
+
+// serving is what depends on the upstream's address and size.
+type serving struct {
+	upstream settings.Upstream
+	gate     *admission.Slots
+	client   *http.Client
+}
+
+var (
+	_ kernel.Module      = (*Module)(nil)
+	_ kernel.ActorSource = (*Module)(nil)
+	_ kernel.Drainer     = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	fabric, err := kernel.Require[*mesh.Mesh](ctx)
+	if err != nil {
+		return err
+	}
+	announcer, err := kernel.Require[membership.Announcer](ctx)
+	if err != nil {
+		return err
+	}
+	m.clock, m.log = ctx.Clock, ctx.Log
+	m.running = call.NewRegistry()
+	m.upstream = &upstreamState{
+		clock: ctx.Clock, log: ctx.Log, announcer: announcer,
+		static: ctx.Node.Upstream, changed: m.rebuild,
+	}
+	m.rebuild(settings.Upstream{Slots: 1, Connections: 1})
+	fabric.Handle(mesh.KindCall, m.serveMesh)
+	kernel.Provide(ctx, m)
+	kernel.Provide(ctx, m.running)
+	return nil
+}
+
+// rebuild makes a gate and a client for the upstream.
+func (m *Module) rebuild(upstream settings.Upstream) {
+	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     upstream.Connections,
+		MaxIdleConnsPerHost: upstream.Connections,
+		DisableCompression:  true,
+	}
+	m.serving.Store(&serving{
+		upstream: upstream,
+		gate:     admission.NewSlots(upstream.Slots, queuePerSlot*upstream.Slots),
+		client: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	})
+}
+
+// Actors implements kernel.ActorSource.
+func (m *Module) Actors() []kernel.Actor {
+	return []kernel.Actor{{Name: "watch upstream", Run: m.upstream.watch}}
+}
+
+// Drain implements kernel.Drainer: it refuses new work and waits for what runs.
+func (m *Module) Drain(ctx context.Context) error {
+	const poll = 20 * time.Millisecond
+	m.upstream.leave()
+	for m.running.Len() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("%d requests still run", m.running.Len())
+		case <-m.clock.After(poll):
+		}
+	}
+	return nil
+}
+
+// RegisterLoopback adds the upstream's own calls to the loopback listener.
+func (m *Module) RegisterLoopback(e *echo.Echo) {
+	e.POST("/.mangomast/announce", m.upstream.serveAnnounce)
+}
+
+func (m *Module) serveMesh(ctx context.Context, _ mesh.Identity, rawHead, body []byte) ([]byte, io.ReadCloser) {
+	head := &call.Head{}
+	reply, answer := call.Refuse(call.CodeBadRequest, "call head is not valid"), io.ReadCloser(nil)
+	if err := mesh.Decode(rawHead, head); err == nil {
+		reply, answer = m.Serve(ctx, head, body)
+	}
+	rawReply, err := mesh.Encode(reply)
+	if err != nil {
+		m.log.WithError(err).Error("reply cannot be encoded")
+	}
+	return rawReply, answer
+}
--- /dev/null
+++ b/plugin/inbound/serve.go
@@ -0,0 +1,100 @@
+package inbound
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/membership"
+)
+
+// Serve runs a request on the local upstream. The context bounds waiting and
+// running; the body, which may be nil, must be closed. It is safe for
+// concurrent use and blocks until the upstream has answered.
+func (m *Module) Serve(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
+	s := m.serving.Load()
+	upstream, state := m.upstream.current()
+	switch {
+	case state == membership.Leaving:
+		return call.Refuse(call.CodeLeaving, "the VM is leaving"), nil
+	case state != membership.Ready || upstream.Service != head.Service:
+		return call.Refuse(call.CodeNoUpstream, "the VM has no upstream for the service"), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, head.Timeout)
+	if refusal := s.gate.Acquire(ctx, head); refusal != nil {
+		cancel()
+		refusal.Load = s.gate.Load()
+		return refusal, nil
+	}
+	running := &call.Running{Head: head, Context: ctx, Deadline: m.clock.Now().Add(head.Timeout)}
+	token := m.running.Begin(running)
+	finish := func() {
+		m.running.End(token)
+		s.gate.Release()
+		cancel()
+	}
+	reply, answer := m.forward(ctx, s, head, body, token)
+	reply.Load = s.gate.Load()
+	reply.RetriesUsed = running.RetriesUsed()
+	if answer == nil {
+		finish()
+		return reply, nil
+	}
+	return reply, &finishingBody{ReadCloser: answer, finish: finish}
+}
+
+// finishingBody ends the request when its answer is closed.
+type finishingBody struct {
+	io.ReadCloser
+	finish func()
+}
+
+// Close implements io.Closer.
+func (b *finishingBody) Close() error {
+	defer b.finish()
+	return b.ReadCloser.Close()
+}
+
+// forward sends the request to the upstream over loopback.
+func (m *Module) forward(ctx context.Context, s *serving, head *call.Head, body []byte, token string) (*call.Reply, io.ReadCloser) {
+	req, err := http.NewRequestWithContext(ctx, head.Method, "http://"+s.upstream.Address+head.Target, bytes.NewReader(body))
+	if err != nil {
+		return call.Refuse(call.CodeBadRequest, "the request cannot be built"), nil
+	}
+	call.AddFields(req.Header, head.Header)
+	call.StripHeader(req.Header)
+	req.Header.Set(call.HeaderContext, token)
+	req.Header.Set(call.HeaderRequestID, head.ID)
+	req.Header.Set(call.HeaderOrganisation, head.Organisation)
+	req.Header.Set(call.HeaderImportance, strconv.Itoa(int(head.Importance)))
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return m.failure(ctx, head, err), nil
+	}
+	call.StripHeader(resp.Header)
+	reply := &call.Reply{Outcome: call.Answered, Status: resp.StatusCode, Header: call.FieldsOf(resp.Header), Length: resp.ContentLength}
+	return reply, resp.Body
+}
+
+// failure tells a connection that was never made from a request that may have
+// run.
+func (m *Module) failure(ctx context.Context, head *call.Head, err error) *call.Reply {
+	m.log.WithError(err).WithField("request_id", head.ID).Debug("upstream did not answer")
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return call.Refuse(call.CodeNoUpstream, "the upstream refused the connection")
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return call.Unsure(call.CodeDeadline, "the deadline passed while the request ran")
+	case ctx.Err() != nil:
+		return call.Unsure(call.CodeCancelled, "the request was cancelled while it ran")
+	}
+	return call.Unsure(call.CodeUpstreamFailed, "the upstream broke the connection")
+}
--- /dev/null
+++ b/plugin/ingress/ingress.go
@@ -0,0 +1,189 @@
+// Package ingress serves callers over HTTP. It checks the key, names the
+// organisation, fixes the request's importance and budget, and dispatches it.
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"github.com/zeebo/xxh3"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/httpcall"
+	"github.com/mangomast/mangomast/internal/httpserver"
+	"github.com/mangomast/mangomast/kernel"
+	configplugin "github.com/mangomast/mangomast/plugin/config"
+	"github.com/mangomast/mangomast/plugin/dispatch"
+)
+
+// ID is the module's ID.
+const ID kernel.ID = "ingress"
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    ID,
+		Needs: []kernel.ID{configplugin.ID, dispatch.ID},
+		New:   func() kernel.Module { return &Module{} },
+	})
+}
+
+// Module is the listener for callers.
+type Module struct {
+	clock      clockwork.Clock
+	log        log.Interface
+	config     config.Source
+	dispatcher dispatch.Dispatcher
+	metrics    *metrics
+	server     *httpserver.Server
+}
+
+var (
+	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Starter     = (*Module)(nil)
+	_ kernel.ActorSource = (*Module)(nil)
+	_ kernel.Drainer     = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
+		return err
+	}
+	if m.dispatcher, err = kernel.Require[dispatch.Dispatcher](ctx); err != nil {
+		return err
+	}
+	m.clock, m.log = ctx.Clock, ctx.Log
+	m.metrics = newMetrics(ctx.Registry)
+	e := echo.New()
+	e.Any("/*", m.serve)
+	m.server = httpserver.New(ctx.Node.Listen.Callers, e)
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error { return m.server.Listen() }
+
+// Actors implements kernel.ActorSource.
+func (m *Module) Actors() []kernel.Actor {
+	return []kernel.Actor{{Name: "serve", Run: m.server.Run}}
+}
+
+// Drain implements kernel.Drainer: it finishes the callers' requests.
+func (m *Module) Drain(ctx context.Context) error {
+	m.server.RefuseKeepAlive()
+	return m.server.Shutdown(ctx)
+}
+
+// request is one caller's request on its way through the checks.
+type request struct {
+	started  time.Time
+	snapshot *config.Snapshot
+	route    *config.Route
+	key      *config.Key
+	head     *call.Head
+}
+
+func (m *Module) serve(c echo.Context) error {
+	req := &request{started: m.clock.Now(), head: &call.Head{ID: uuid.NewString()}}
+	req.head.Root = req.head.ID
+	reply, err := m.handle(c, req)
+	m.metrics.observe(req, reply, m.clock.Since(req.started))
+	m.logRequest(req, reply)
+	return err
+}
+
+func (m *Module) handle(c echo.Context, req *request) (*call.Reply, error) {
+	r := c.Request()
+	checks := []func(*http.Request, *request) *call.Reply{
+		m.authenticate,
+		m.match,
+	}
+	for _, check := range checks {
+		if refusal := check(r, req); refusal != nil {
+			return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
+		}
+	}
+	body, refusal := httpcall.ReadBody(c, req.route.MaxRequestBytes)
+	if refusal != nil {
+		return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
+	}
+	fillHead(r, req)
+	reply, answer := m.dispatcher.Dispatch(r.Context(), req.head, body)
+	return reply, httpcall.WriteReply(c, req.head.ID, reply, answer, req.route.MaxAnswerBytes)
+}
+
+// authenticate takes the key off the request and finds its organisation.
+func (m *Module) authenticate(r *http.Request, req *request) *call.Reply {
+	key, ok := takeKey(r)
+	req.snapshot = m.config.Snapshot()
+	if req.snapshot == nil || !m.config.Fresh() {
+		return call.Refuse(call.CodeStaleConfig, "the node has no fresh configuration; try another node")
+	}
+	if !ok {
+		return call.Refuse(call.CodeUnauthenticated, "exactly one key must come with the request")
+	}
+	req.key = req.snapshot.KeyByHash(config.HashKey(key))
+	if req.key == nil {
+		return call.Refuse(call.CodeUnauthenticated, "the key is unknown or was withdrawn")
+	}
+	if strings.Contains(r.URL.Path, key) {
+		return call.Refuse(call.CodeBadRequest, "a key must not be part of the path")
+	}
+	org := req.snapshot.Organisation(req.key.Organisation)
+	if org == nil || org.Suspended {
+		return call.Refuse(call.CodeForbidden, "the organisation is suspended")
+	}
+	req.head.Organisation = org.ID
+	return nil
+}
+
+// match finds the route and checks that it is open to the organisation.
+func (m *Module) match(r *http.Request, req *request) *call.Reply {
+	route := req.snapshot.Route(r.Method, r.URL.Path)
+	if route == nil || route.Internal {
+		return call.Refuse(call.CodeNoRoute, "no route matches the request")
+	}
+	if !route.Allows(req.head.Organisation) {
+		return call.Refuse(call.CodeForbidden, "the route is not open to the organisation")
+	}
+	req.route = route
+	return nil
+}
+
+// fillHead fixes what holds for the request's whole tree.
+func fillHead(r *http.Request, req *request) {
+	header := r.Header.Clone()
+	call.StripHeader(header)
+	head := req.head
+	head.Route = req.route.ID
+	head.Service = req.route.Service
+	head.Importance = req.route.Importance
+	head.Rank = uint16(xxh3.HashString(req.key.ID))
+	head.Timeout = req.route.Deadline.Std()
+	head.RetryBudget = req.route.RetryBudget
+	head.Idempotent = req.route.Idempotent
+	head.Method = r.Method
+	head.Target = r.URL.RequestURI()
+	head.Header = call.FieldsOf(header)
+}
+
+func (m *Module) logRequest(req *request, reply *call.Reply) {
+	if reply.Outcome == call.Answered {
+		return
+	}
+	m.log.WithFields(log.Fields{
+		"request_id":   req.head.ID,
+		"organisation": req.head.Organisation,
+		"route":        req.head.Route,
+		"outcome":      reply.Outcome.String(),
+		"reason":       reply.Code.String(),
+	}).Debug("request was not answered by an upstream")
+}
--- /dev/null
+++ b/plugin/ingress/key.go
@@ -0,0 +1,106 @@
+package ingress
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+// Places where callers may put their key, besides call.HeaderKey and
+// "Authorization: Bearer".
+const (
+	keyParameter = "mangomast_key"
+	keyCookie    = "mangomast_key"
+	bearerPrefix = "Bearer "
+)
+
+// takeKey removes the caller's key from every place of the request and
+// returns it. It returns false if there is none or if two differ.
+func takeKey(r *http.Request) (string, bool) {
+	found := map[string]bool{}
+	note := func(key string) {
+		if key = strings.TrimSpace(key); key != "" {
+			found[key] = true
+		}
+	}
+	for _, value := range r.Header.Values("Authorization") {
+		if len(value) > len(bearerPrefix) && strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
+			note(value[len(bearerPrefix):])
+		}
+	}
+	for _, value := range r.Header.Values(call.HeaderKey) {
+		note(value)
+	}
+	r.Header.Del("Authorization")
+	r.Header.Del("Proxy-Authorization")
+	r.Header.Del(call.HeaderKey)
+	takeQueryKey(r.URL, note)
+	takeCookieKey(r, note)
+	for key := range found {
+		scrub(r, key)
+	}
+	if len(found) != 1 {
+		return "", false
+	}
+	for key := range found {
+		return key, true
+	}
+	return "", false
+}
+
+func takeQueryKey(u *url.URL, note func(string)) {
+	if u.RawQuery == "" {
+		return
+	}
+	kept := []string{}
+	for pair := range strings.SplitSeq(u.RawQuery, "&") {
+		name, value, _ := strings.Cut(pair, "=")
+		decoded, err := url.QueryUnescape(name)
+		if err != nil || !strings.EqualFold(decoded, keyParameter) {
+			kept = append(kept, pair)
+			continue
+		}
+		if key, err := url.QueryUnescape(value); err == nil {
+			note(key)
+		}
+	}
+	u.RawQuery = strings.Join(kept, "&")
+}
+
+func takeCookieKey(r *http.Request, note func(string)) {
+	cookies := r.Cookies()
+	if len(cookies) == 0 {
+		return
+	}
+	r.Header.Del("Cookie")
+	for _, cookie := range cookies {
+		if strings.EqualFold(cookie.Name, keyCookie) {
+			note(cookie.Value)
+			continue
+		}
+		r.AddCookie(cookie)
+	}
+}
+
+// scrub drops every other header and query parameter that holds the key, and
+// announced trailers.
+func scrub(r *http.Request, key string) {
+	for name, values := range r.Header {
+		for _, value := range values {
+			if strings.Contains(value, key) {
+				r.Header.Del(name)
+				break
+			}
+		}
+	}
+	kept := []string{}
+	for pair := range strings.SplitSeq(r.URL.RawQuery, "&") {
+		decoded, err := url.QueryUnescape(pair)
+		if err == nil && !strings.Contains(decoded, key) {
+			kept = append(kept, pair)
+		}
+	}
+	r.URL.RawQuery = strings.Join(kept, "&")
+}
--- /dev/null
+++ b/plugin/ingress/metrics.go
@@ -0,0 +1,67 @@
+package ingress
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+const (
+	// maxOrganisations bounds the organisations with series of their own.
+	maxOrganisations = 200
+	// otherLabel stands for all further ones.
+	otherLabel = "other"
+	noneLabel  = "none"
+)
+
+type metrics struct {
+	duration *prometheus.HistogramVec
+	requests *prometheus.CounterVec
+
+	mu            sync.Mutex
+	organisations map[string]bool
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "mangomast_ingress_request_duration_seconds",
+			Help:    "Time from a caller's request to its whole answer, by organisation and importance.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"organisation", "importance"}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangomast_ingress_requests_total",
+			Help: "Callers' requests, by organisation, outcome and reason.",
+		}, []string{"organisation", "outcome", "reason"}),
+		organisations: map[string]bool{},
+	}
+	registerer.MustRegister(m.duration, m.requests)
+	return m
+}
+
+// label bounds the number of organisations with series of their own.
+func (m *metrics) label(organisation string) string {
+	if organisation == "" {
+		return noneLabel
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.organisations[organisation] && len(m.organisations) >= maxOrganisations {
+		return otherLabel
+	}
+	m.organisations[organisation] = true
+	return organisation
+}
+
+func (m *metrics) observe(req *request, reply *call.Reply, elapsed time.Duration) {
+	organisation := m.label(req.head.Organisation)
+	m.requests.WithLabelValues(organisation, reply.Outcome.String(), reply.Code.String()).Inc()
+	if reply.Outcome == call.Answered {
+		importance := strconv.Itoa(int(req.head.Importance))
+		m.duration.WithLabelValues(organisation, importance).Observe(elapsed.Seconds())
+	}
+}
--- /dev/null
+++ b/plugin/mesh/mesh.go
@@ -0,0 +1,67 @@
+// Package mesh runs the node's listener for other nodes and provides
+// *mesh.Mesh to the other modules.
+package mesh
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/mangomast/mangomast/internal/httpserver"
+	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/mesh"
+)
+
+// ID is the module's ID.
+const ID kernel.ID = "mesh"
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Module{} }})
+}
+
+// Module owns the mesh.
+type Module struct {
+	mesh   *mesh.Mesh
+	server *httpserver.Server
+}
+
+var (
+	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Starter     = (*Module)(nil)
+	_ kernel.ActorSource = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	self := mesh.Identity{
+		VM:            ctx.Node.VM,
+		Incarnation:   ctx.Incarnation,
+		FailureDomain: ctx.Node.FailureDomain,
+		Region:        ctx.Node.Region,
+	}
+	created, err := mesh.New(mesh.Options{
+		Self: self, Secret: ctx.Node.FleetSecret, Log: ctx.Log, Registerer: ctx.Registry,
+		LocalIP: ctx.Node.Listen.MeshIP(),
+	})
+	if err != nil {
+		return err
+	}
+	m.mesh = created
+	mux := http.NewServeMux()
+	mux.Handle(mesh.Path, created)
+	m.server = httpserver.New(ctx.Node.Listen.Mesh, mux)
+	kernel.Provide(ctx, created)
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error { return m.server.Listen() }
+
+// Actors implements kernel.ActorSource.
+func (m *Module) Actors() []kernel.Actor {
+	return []kernel.Actor{{Name: "serve", Run: m.serve}}
+}
+
+func (m *Module) serve(ctx context.Context) error {
+	defer m.mesh.Close()
+	return m.server.Run(ctx)
+}
--- /dev/null
+++ b/store/etcd/etcd.go
@@ -0,0 +1,204 @@
+// Package etcd implements store.Store over the published JSON gateway of
+// etcd v3, by net/http alone.
+package etcd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/store"
+)
+
+const (
+	dialTimeout     = 1 * time.Second
+	callTimeout     = 5 * time.Second
+	maxAnswerBytes  = 64 << 20
+	maxIdlePerHost  = 8
+	idleConnTimeout = 30 * time.Second
+)
+
+// Options are the inputs of New.
+type Options struct {
+	// Endpoints are base URLs such as http://10.0.0.5:2379, tried in turn.
+	Endpoints []string
+	// LocalIP is the address that connections are dialed from; empty for any.
+	LocalIP string
+}
+
+// Client is a store reached through the JSON gateway.
+type Client struct {
+	endpoints []string
+	current   atomic.Uint32
+	http      *http.Client
+}
+
+var _ store.Store = (*Client)(nil)
+
+// New returns a client. It connects when it is first used.
+func New(opts Options) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if ip := net.ParseIP(opts.LocalIP); ip != nil && !ip.IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+	return &Client{endpoints: opts.Endpoints, http: &http.Client{Transport: transport}}
+}
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Listing, error) {
+	return c.read(ctx, RangeRequest{Key: []byte(key)})
+}
+
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, prefix string) (store.Listing, error) {
+	return c.read(ctx, RangeRequest{Key: []byte(prefix), RangeEnd: RangeEnd([]byte(prefix))})
+}
+
+func (c *Client) read(ctx context.Context, req RangeRequest) (store.Listing, error) {
+	var resp RangeResponse
+	if err := c.call(ctx, PathRange, req, &resp); err != nil {
+		return store.Listing{}, err
+	}
+	listing := store.Listing{Revision: resp.Header.Revision}
+	for _, kv := range resp.Kvs {
+		listing.Records = append(listing.Records, record(kv))
+	}
+	return listing, nil
+}
+
+func record(kv KeyValue) store.Record {
+	return store.Record{Key: string(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision}
+}
+
+// Commit implements store.Store.
+func (c *Client) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	var req TxnRequest
+	for _, cmp := range txn.Compares {
+		op := CompareOp{Key: []byte(cmp.Key), Target: TargetMod, Result: ResultEqual, ModRevision: cmp.Revision}
+		req.Compare = append(req.Compare, op)
+	}
+	for _, put := range txn.Puts {
+		op := &PutRequest{Key: []byte(put.Key), Value: put.Value, Lease: int64(put.Lease)}
+		req.Success = append(req.Success, RequestOp{Put: op})
+	}
+	for _, key := range txn.Deletes {
+		req.Success = append(req.Success, RequestOp{Delete: &DeleteRequest{Key: []byte(key)}})
+	}
+	var resp TxnResponse
+	if err := c.call(ctx, PathTxn, req, &resp); err != nil {
+		return store.TxnResult{}, err
+	}
+	return store.TxnResult{Succeeded: resp.Succeeded, Revision: resp.Header.Revision}, nil
+}
+
+// Grant implements store.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	var resp LeaseResponse
+	err := c.call(ctx, PathGrant, LeaseRequest{TTL: int64(ttl / time.Second)}, &resp)
+	return store.LeaseID(resp.ID), err
+}
+
+// KeepAlive implements store.Store.
+func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
+	var resp KeepAliveResponse
+	err := c.call(ctx, PathKeepAlive, LeaseRequest{ID: int64(id)}, &resp)
+	return time.Duration(resp.Result.TTL) * time.Second, err
+}
+
+// Revoke implements store.Store.
+func (c *Client) Revoke(ctx context.Context, id store.LeaseID) error {
+	var resp LeaseResponse
+	return c.call(ctx, PathRevoke, LeaseRequest{ID: int64(id)}, &resp)
+}
+
+// Watch implements store.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64, handle func(store.WatchBatch)) error {
+	key := []byte(prefix)
+	req := WatchRequest{Create: WatchCreate{Key: key, RangeEnd: RangeEnd(key), StartRevision: from}}
+	resp, err := c.post(ctx, PathWatch, req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	decoder := json.NewDecoder(resp.Body)
+	for {
+		var message WatchMessage
+		if err := decoder.Decode(&message); err != nil {
+			return errors.Wrap(err, "watch ended")
+		}
+		handle(batch(message.Result))
+	}
+}
+
+func batch(result WatchResult) store.WatchBatch {
+	b := store.WatchBatch{Revision: result.Header.Revision}
+	for _, event := range result.Events {
+		b.Events = append(b.Events, store.Event{Record: record(event.Kv), Deleted: event.Type == EventDeleted})
+	}
+	return b
+}
+
+func (c *Client) call(ctx context.Context, path string, req, resp any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := c.post(ctx, path, req)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBytes)).Decode(resp); err != nil {
+		return errors.Wrap(ErrAnswer(err), path)
+	}
+	return nil
+}
+
+// ErrAnswer turns a broken answer into an unknown outcome.
+func ErrAnswer(err error) error {
+	return errors.Wrap(store.ErrOutcomeUnknown, err.Error())
+}
+
+func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode store request")
+	}
+	index := c.current.Load()
+	endpoint := c.endpoints[int(index)%len(c.endpoints)]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.Wrap(err, "build store request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.current.CompareAndSwap(index, index+1)
+		return nil, classify(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		c.current.CompareAndSwap(index, index+1)
+		return nil, errors.Wrapf(store.ErrUnavailable, "%s answered %s", path, resp.Status)
+	}
+	return resp, nil
+}
+
+// classify tells a connection that was never made from an answer that was lost.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrap(store.ErrUnavailable, err.Error())
+	}
+	return ErrAnswer(err)
+}
--- /dev/null
+++ b/store/etcd/wire.go
@@ -0,0 +1,147 @@
+package etcd
+
+// The types below mirror the subset of the etcd v3 JSON gateway that is used.
+// The gateway writes 64-bit integers as strings and bytes as base64, which is
+// what the json package does for []byte and for fields tagged "string".
+
+// Paths of the gateway's calls.
+const (
+	PathRange     = "/v3/kv/range"
+	PathTxn       = "/v3/kv/txn"
+	PathWatch     = "/v3/watch"
+	PathGrant     = "/v3/lease/grant"
+	PathKeepAlive = "/v3/lease/keepalive"
+	PathRevoke    = "/v3/lease/revoke"
+)
+
+// Header starts each response.
+type Header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+// KeyValue is one key of the store.
+type KeyValue struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision int64  `json:"mod_revision,string"`
+	Version     int64  `json:"version,string"`
+	Lease       int64  `json:"lease,string"`
+}
+
+// RangeRequest reads the keys in [Key, RangeEnd).
+type RangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// RangeResponse answers a RangeRequest.
+type RangeResponse struct {
+	Header Header     `json:"header"`
+	Kvs    []KeyValue `json:"kvs"`
+}
+
+// Targets and results of a CompareOp.
+const (
+	TargetMod    = "MOD"
+	ResultEqual  = "EQUAL"
+	EventPut     = "PUT"
+	EventDeleted = "DELETE"
+)
+
+// CompareOp is a condition of a transaction.
+type CompareOp struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// PutRequest writes one key.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string"`
+}
+
+// DeleteRequest deletes one key.
+type DeleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+// RequestOp is one operation of a transaction.
+type RequestOp struct {
+	Put    *PutRequest    `json:"request_put,omitempty"`
+	Delete *DeleteRequest `json:"request_delete_range,omitempty"`
+}
+
+// TxnRequest runs Success if all of Compare hold.
+type TxnRequest struct {
+	Compare []CompareOp `json:"compare"`
+	Success []RequestOp `json:"success"`
+}
+
+// TxnResponse answers a TxnRequest.
+type TxnResponse struct {
+	Header    Header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+}
+
+// WatchRequest opens a watch.
+type WatchRequest struct {
+	Create WatchCreate `json:"create_request"`
+}
+
+// WatchCreate says what to watch.
+type WatchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,string"`
+}
+
+// WatchMessage is one line of a watch's response.
+type WatchMessage struct {
+	Result WatchResult `json:"result"`
+}
+
+// WatchResult holds the events of a WatchMessage.
+type WatchResult struct {
+	Header  Header       `json:"header"`
+	Created bool         `json:"created,omitempty"`
+	Events  []WatchEvent `json:"events,omitempty"`
+}
+
+// WatchEvent is one change.
+type WatchEvent struct {
+	Type string   `json:"type,omitempty"`
+	Kv   KeyValue `json:"kv"`
+}
+
+// LeaseRequest is the body of the lease calls.
+type LeaseRequest struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+// LeaseResponse answers a grant.
+type LeaseResponse struct {
+	Header Header `json:"header"`
+	ID     int64  `json:"ID,string"`
+	TTL    int64  `json:"TTL,string"`
+}
+
+// KeepAliveResponse answers a keepalive.
+type KeepAliveResponse struct {
+	Result LeaseResponse `json:"result"`
+}
+
+// RangeEnd returns the end of the range of keys that start with prefix.
+func RangeEnd(prefix []byte) []byte {
+	end := append([]byte(nil), prefix...)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
