Change the configuration by named fields, with conflicts shown

Cause: operators could only overwrite the whole document; two of them racing would lose one change, and a lost answer of the store left the outcome open.

Change: package edit. A change is a list of fields with the value its author saw and the value wanted. It is applied to the latest version, so edits that do not touch are rebased and edits of the same field conflict. Document and history entry are written in one compare-and-swap with an ID unique to the write; a lost answer is settled by reading back. Undo is the inverse as a new change. A whole document is merged from the version it was made from.

Excluded: writing again blindly after a lost answer (a second write could undo a later change), and locking the document while a form is open.

Measured: go test ./edit: 4 writers, 24 changes, every second answer to a write lost: 24 changes made, none twice.

--- a/config/document.go
+++ b/config/document.go
@@ -19,6 +19,29 @@
 	Services      []Service       `json:"services"`
 	Routes        []Route         `json:"routes"`
 	Domains       []FailureDomain `json:"failure_domains"`
+	Operators     []Operator      `json:"operators,omitempty"`
+	// Change says which write made this version; it is set by the system.
+	Change Change `json:"change,omitzero"`
+}
+
+// RecentChanges is the number of earlier changes that a document names.
+const RecentChanges = 64
+
+// Change numbers the versions of a document.
+type Change struct {
+	// Number grows by one with each change.
+	Number uint64 `json:"number,omitempty"`
+	// ID is unique to the write; Recent has those before it, newest first, so
+	// that a writer whose answer was lost finds its change.
+	ID     string   `json:"id,omitempty"`
+	Recent []string `json:"recent,omitempty"`
+}
+
+// Operator may change the configuration.
+type Operator struct {
+	ID string `json:"id"`
+	// Hash is the SHA-256 of the operator's token in hexadecimal.
+	Hash string `json:"hash"`
 }
 
 // Organisation is a customer with a share of the fleet.
--- a/config/validate.go
+++ b/config/validate.go
@@ -31,6 +31,7 @@
 	v.keys(d.Keys, organisations)
 	v.routes(d.Routes, organisations, services)
 	v.domains(d.Domains)
+	v.operators(d.Operators)
 }
 
 type nameSet map[string]bool
@@ -90,8 +91,7 @@
 		if !organisations[key.Organisation] {
 			v.findings.Addf(at+"/organisation", "%q is not an organisation of this document", key.Organisation)
 		}
-		raw, err := hex.DecodeString(key.Hash)
-		if err != nil || len(raw) != hashBytes {
+		if !validHash(key.Hash) {
 			v.findings.Addf(at+"/hash", "must be a SHA-256 in hexadecimal; use 'mangomast key grant' to make a key")
 		}
 		if hashes[strings.ToLower(key.Hash)] {
@@ -174,3 +174,20 @@
 		}
 	}
 }
+
+func (v *validator) operators(operators []Operator) {
+	seen := nameSet{}
+	for i, operator := range operators {
+		at := fmt.Sprintf("/operators/%d", i)
+		v.id(at+"/id", operator.ID, seen)
+		if !validHash(operator.Hash) {
+			v.findings.Addf(at+"/hash", "must be a SHA-256 in hexadecimal; use 'mangomast operator new' to make a token")
+		}
+	}
+}
+
+// validHash reports whether the text is a SHA-256 in hexadecimal.
+func validHash(text string) bool {
+	raw, err := hex.DecodeString(text)
+	return err == nil && len(raw) == hashBytes
+}
--- /dev/null
+++ b/edit/edit.go
@@ -0,0 +1,202 @@
+// Package edit changes the configuration document by named fields. A change
+// made against an older revision is applied to the latest one if the fields it
+// touches are still as its author saw them; otherwise it is a conflict that is
+// shown, never overwritten.
+//
+// A field is named by a path such as /organisations/beach/rate, where the
+// element of a collection is named by its id; /organisations/beach names the
+// whole element.
+package edit
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/config"
+)
+
+// Edit changes one field, or adds or removes one element.
+type Edit struct {
+	Field string `json:"field"`
+	// Old is the value that the author saw; empty if the field was absent.
+	Old json.RawMessage `json:"old,omitempty"`
+	// New is the value wanted; empty to remove the field or element.
+	New json.RawMessage `json:"new,omitempty"`
+}
+
+// Conflict is a field that was changed by somebody else in the meantime.
+type Conflict struct {
+	Field string          `json:"field"`
+	Old   json.RawMessage `json:"old,omitempty"`
+	// Theirs is the field's value now; Yours the value that was wanted.
+	Theirs json.RawMessage `json:"theirs,omitempty"`
+	Yours  json.RawMessage `json:"yours,omitempty"`
+}
+
+// ConflictError reports every conflict of a change at once.
+type ConflictError struct {
+	Conflicts []Conflict
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	lines := make([]string, len(e.Conflicts))
+	for i, c := range e.Conflicts {
+		lines[i] = fmt.Sprintf("%s: is now %s, was %s when you opened it, you want %s",
+			c.Field, orAbsent(c.Theirs), orAbsent(c.Old), orAbsent(c.Yours))
+	}
+	return strings.Join(lines, "\n")
+}
+
+func orAbsent(value json.RawMessage) string {
+	if len(value) == 0 {
+		return "absent"
+	}
+	return string(value)
+}
+
+// Apply returns a copy of the document with the edits made. It returns a
+// *ConflictError if a field is neither as its edit's Old nor as its New, and
+// a *finding.Error if the result is invalid.
+func Apply(doc *config.Document, edits []Edit) (*config.Document, error) {
+	tree, err := treeOf(doc)
+	if err != nil {
+		return nil, err
+	}
+	var conflicts []Conflict
+	for _, e := range edits {
+		path, err := parsePath(e.Field)
+		if err != nil {
+			return nil, err
+		}
+		now := tree.value(path)
+		if same(now, e.New) {
+			continue
+		}
+		if !same(now, e.Old) {
+			conflicts = append(conflicts, Conflict{Field: e.Field, Old: e.Old, Theirs: now, Yours: e.New})
+			continue
+		}
+		if err := tree.set(path, e.New); err != nil {
+			return nil, err
+		}
+	}
+	if len(conflicts) > 0 {
+		return nil, &ConflictError{Conflicts: conflicts}
+	}
+	return tree.document()
+}
+
+// Value returns the value of a field or element, or nil if it is absent.
+func Value(doc *config.Document, field string) (json.RawMessage, error) {
+	path, err := parsePath(field)
+	if err != nil {
+		return nil, err
+	}
+	tree, err := treeOf(doc)
+	if err != nil {
+		return nil, err
+	}
+	return tree.value(path), nil
+}
+
+// Diff returns the edits that turn one document into another. Elements that
+// are in both are compared field by field.
+func Diff(from, to *config.Document) ([]Edit, error) {
+	before, err := treeOf(from)
+	if err != nil {
+		return nil, err
+	}
+	after, err := treeOf(to)
+	if err != nil {
+		return nil, err
+	}
+	var edits []Edit
+	for i := range before.collections {
+		edits = append(edits, diffCollection(&before.collections[i], &after.collections[i])...)
+	}
+	return edits, nil
+}
+
+func diffCollection(before, after *collection) []Edit {
+	var edits []Edit
+	for _, old := range before.elements {
+		at := "/" + before.name + "/" + old.id
+		if changed := after.find(old.id); changed != nil {
+			edits = append(edits, diffElement(at, old, changed)...)
+			continue
+		}
+		edits = append(edits, Edit{Field: at, Old: old.json()})
+	}
+	for _, added := range after.elements {
+		if before.find(added.id) == nil {
+			edits = append(edits, Edit{Field: "/" + after.name + "/" + added.id, New: added.json()})
+		}
+	}
+	return edits
+}
+
+func diffElement(at string, before, after *element) []Edit {
+	var edits []Edit
+	for _, name := range unionNames(before, after) {
+		old, changed := before.get(name), after.get(name)
+		if !same(old, changed) {
+			edits = append(edits, Edit{Field: at + "/" + name, Old: old, New: changed})
+		}
+	}
+	return edits
+}
+
+// Invert returns the edits that take the given ones back.
+func Invert(edits []Edit) []Edit {
+	inverse := make([]Edit, len(edits))
+	for i, e := range edits {
+		inverse[len(edits)-1-i] = Edit{Field: e.Field, Old: e.New, New: e.Old}
+	}
+	return inverse
+}
+
+// same compares two JSON values by meaning; nil stands for an absent value.
+func same(a, b json.RawMessage) bool {
+	return bytes.Equal(canonical(a), canonical(b))
+}
+
+// canonical returns a JSON value without spaces and with sorted names.
+func canonical(value json.RawMessage) json.RawMessage {
+	if len(value) == 0 || string(value) == "null" {
+		return nil
+	}
+	var decoded any
+	if err := json.Unmarshal(value, &decoded); err != nil {
+		return value
+	}
+	data, err := json.Marshal(decoded)
+	if err != nil {
+		return value
+	}
+	return data
+}
+
+// path names a field or, if field is empty, an element.
+type path struct {
+	collection, id, field string
+}
+
+func parsePath(text string) (path, error) {
+	parts := strings.Split(text, "/")
+	if len(parts) < 3 || len(parts) > 4 || parts[0] != "" || parts[1] == "" || parts[2] == "" {
+		return path{}, errors.Errorf("%q is not a field; write it as /organisations/ID/rate or /organisations/ID", text)
+	}
+	p := path{collection: parts[1], id: parts[2]}
+	if len(parts) == 4 {
+		p.field = parts[3]
+	}
+	if !isCollection(p.collection) {
+		return path{}, errors.Errorf("%q is not a part of the document; it has %s", p.collection, strings.Join(collectionNames, ", "))
+	}
+	return p, nil
+}
--- /dev/null
+++ b/edit/edit_test.go
@@ -0,0 +1,145 @@
+package edit
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/store/etcd"
+)
+
+func newEditor(t *testing.T) (*Editor, *standin.Store) {
+	t.Helper()
+	backend := standin.NewStore()
+	server := httptest.NewServer(backend)
+	t.Cleanup(server.Close)
+	client := etcd.New(etcd.Options{Endpoints: []string{server.URL}})
+	return NewEditor(client, "/mm/", clockwork.NewRealClock()), backend
+}
+
+func commit(t *testing.T, e *Editor, edits ...Edit) *Change {
+	t.Helper()
+	change, err := e.Commit(t.Context(), Proposal{Author: "test", Edits: edits})
+	assert.NilError(t, err)
+	return change
+}
+
+func raw(text string) json.RawMessage { return json.RawMessage(text) }
+
+func addOrganisation(id string) Edit {
+	return Edit{Field: "/organisations/" + id, New: raw(`{"weight": 1, "rate": 5, "burst": 10}`)}
+}
+
+func TestEditsOfDifferentFieldsAreRebased(t *testing.T) {
+	e, _ := newEditor(t)
+	commit(t, e, addOrganisation("beach"))
+	commit(t, e, Edit{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("6")})
+	commit(t, e, Edit{Field: "/organisations/beach/burst", Old: raw("10"), New: raw("20")})
+	current, err := e.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, current.Document.Organisations[0].Rate, 6.0)
+	assert.Equal(t, current.Document.Organisations[0].Burst, 20.0)
+}
+
+func TestEditsOfTheSameFieldConflict(t *testing.T) {
+	e, _ := newEditor(t)
+	commit(t, e, addOrganisation("beach"))
+	commit(t, e, Edit{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("6")})
+	_, err := e.Commit(t.Context(), Proposal{Edits: []Edit{{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("7")}}})
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, string(conflict.Conflicts[0].Theirs), "6")
+}
+
+func TestInvalidEditNamesTheFieldById(t *testing.T) {
+	e, _ := newEditor(t)
+	commit(t, e, addOrganisation("beach"))
+	_, err := e.Commit(t.Context(), Proposal{Edits: []Edit{
+		{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("-1")},
+		{Field: "/organisations/beach/burst", Old: raw("10"), New: raw(`"x"`)},
+	}})
+	var invalid *finding.Error
+	assert.Assert(t, errors.As(err, &invalid))
+	assert.ErrorContains(t, err, "/organisations/beach/burst: expected a value of type float64")
+}
+
+func TestUndoIsANewChange(t *testing.T) {
+	e, _ := newEditor(t)
+	commit(t, e, addOrganisation("beach"))
+	change := commit(t, e, Edit{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("6")})
+	undone, err := e.Undo(t.Context(), change.Number, "test")
+	assert.NilError(t, err)
+	assert.Equal(t, undone.Number, change.Number+1)
+	current, err := e.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, current.Document.Organisations[0].Rate, 5.0)
+	history, err := e.History(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 3)
+}
+
+func TestApplyingAnOldDocumentKeepsOthersChanges(t *testing.T) {
+	e, _ := newEditor(t)
+	commit(t, e, addOrganisation("beach"))
+	opened, err := e.Read(t.Context())
+	assert.NilError(t, err)
+	commit(t, e, Edit{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("6")})
+	mine := opened.Document
+	mine.Organisations[0].Burst = 99
+	edits, err := e.Merge(t.Context(), mine)
+	assert.NilError(t, err)
+	assert.Equal(t, len(edits), 1)
+	commit(t, e, edits...)
+	current, err := e.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, current.Document.Organisations[0].Rate, 6.0)
+	assert.Equal(t, current.Document.Organisations[0].Burst, 99.0)
+}
+
+// Every second answer to a write is lost while four operators race; each
+// change must be made exactly once.
+func TestLostAnswersAreSettledByReadingBack(t *testing.T) {
+	const operators, changes = 4, 6
+	e, backend := newEditor(t)
+	backend.SetFaults(standin.Faults{LoseAnswers: 2})
+	var group sync.WaitGroup
+	for operator := range operators {
+		group.Go(func() {
+			for i := range changes {
+				id := "org-" + strconv.Itoa(operator) + "-" + strconv.Itoa(i)
+				_, err := e.Commit(context.Background(), Proposal{Edits: []Edit{addOrganisation(id)}})
+				assert.Check(t, err)
+			}
+		})
+	}
+	group.Wait()
+	current, err := e.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(current.Document.Organisations), operators*changes)
+	assert.Equal(t, current.Document.Change.Number, uint64(operators*changes))
+}
+
+func TestDiffAndApplyAgree(t *testing.T) {
+	from := &config.Document{Organisations: []config.Organisation{{ID: "a", Weight: 1, Burst: 1}, {ID: "b", Weight: 1, Burst: 1}}}
+	to := &config.Document{Organisations: []config.Organisation{{ID: "b", Weight: 2, Burst: 1, Suspended: true}, {ID: "c", Weight: 1, Burst: 1}}}
+	edits, err := Diff(from, to)
+	assert.NilError(t, err)
+	got, err := Apply(from, edits)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Organisations, to.Organisations)
+	back, err := Apply(got, Invert(edits))
+	assert.NilError(t, err)
+	rest, err := Diff(back, from)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rest), 0)
+}
--- /dev/null
+++ b/edit/editor.go
@@ -0,0 +1,264 @@
+package edit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/store"
+)
+
+const (
+	// HistoryPrefix starts the keys of past changes, after the store's prefix.
+	HistoryPrefix = "config/history/"
+	// HistoryLength is the number of changes that are kept.
+	HistoryLength = 1000
+	// settleDelay is the pause before a store that gave no answer is asked
+	// again.
+	settleDelay = 200 * time.Millisecond
+)
+
+// Change is one accepted write of the document, kept as history.
+type Change struct {
+	Number uint64    `json:"number"`
+	ID     string    `json:"id"`
+	Author string    `json:"author"`
+	Note   string    `json:"note,omitempty"`
+	Time   time.Time `json:"time"`
+	Edits  []Edit    `json:"edits"`
+	// Revision is the store's revision of the change.
+	Revision int64 `json:"revision,omitempty"`
+}
+
+// Proposal is a change that an author asks for.
+type Proposal struct {
+	// ID makes the write unique; a proposal sent twice under one ID is
+	// written once. Empty for a new one.
+	ID     string
+	Author string
+	Note   string
+	Edits  []Edit
+}
+
+// Current is the document as the store has it.
+type Current struct {
+	Document *config.Document
+	Revision int64
+}
+
+// Editor reads and changes the document in the store. It is safe for
+// concurrent use; all methods block until the store has answered.
+type Editor struct {
+	store  store.Store
+	prefix string
+	clock  clockwork.Clock
+}
+
+// NewEditor returns an editor of the document below the store's prefix.
+func NewEditor(s store.Store, prefix string, clock clockwork.Clock) *Editor {
+	return &Editor{store: s, prefix: prefix, clock: clock}
+}
+
+// Read returns the document; an empty one at revision 0 if there is none.
+func (e *Editor) Read(ctx context.Context) (*Current, error) {
+	listing, err := e.store.Get(ctx, e.prefix+config.DocumentKey)
+	if err != nil {
+		return nil, err
+	}
+	current := &Current{Document: &config.Document{}}
+	for _, record := range listing.Records {
+		current.Revision = record.ModRevision
+		if err := json.Unmarshal(record.Value, current.Document); err != nil {
+			return nil, errors.Wrap(err, "decode the document in the store")
+		}
+	}
+	return current, nil
+}
+
+// Commit writes a proposal on top of the latest document. Writes whose answer
+// was lost are settled by reading back; Commit returns store.ErrOutcomeUnknown
+// only if the context ended before that. Other errors mean that nothing was
+// written: *ConflictError, *finding.Error or the store's.
+func (e *Editor) Commit(ctx context.Context, p Proposal) (*Change, error) {
+	if p.ID == "" {
+		p.ID = uuid.NewString()
+	}
+	unsettled := false
+	for {
+		current, err := e.Read(ctx)
+		if err == nil {
+			var change *Change
+			change, err = e.attempt(ctx, current, p)
+			if change != nil {
+				return change, nil
+			}
+		}
+		switch {
+		case errors.Is(err, errRaced):
+			continue
+		case errors.Is(err, store.ErrOutcomeUnknown), unsettled && errors.Is(err, store.ErrUnavailable):
+			unsettled = true
+		case err != nil:
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Wrap(store.ErrOutcomeUnknown, "the change may or may not have been made; look at the history")
+		case <-e.clock.After(settleDelay):
+		}
+	}
+}
+
+// errRaced means that another change was written first.
+var errRaced = errors.New("another change was written first")
+
+// attempt writes the proposal on top of the current document, unless it is
+// part of it already.
+func (e *Editor) attempt(ctx context.Context, current *Current, p Proposal) (*Change, error) {
+	done, err := e.find(ctx, p.ID, current)
+	if done != nil || err != nil {
+		return done, err
+	}
+	doc, err := Apply(current.Document, p.Edits)
+	if err != nil {
+		return nil, err
+	}
+	change := &Change{
+		Number: current.Document.Change.Number + 1, ID: p.ID, Author: p.Author, Note: p.Note,
+		Time: e.clock.Now().UTC(), Edits: p.Edits,
+	}
+	doc.Change = config.Change{Number: change.Number, ID: change.ID, Recent: recent(current.Document.Change)}
+	txn, err := e.txn(doc, change, current.Revision)
+	if err != nil {
+		return nil, err
+	}
+	result, err := e.store.Commit(ctx, txn)
+	switch {
+	case err != nil:
+		return nil, err
+	case !result.Succeeded:
+		return nil, errRaced
+	}
+	change.Revision = result.Revision
+	return change, nil
+}
+
+// recent returns the IDs of the last changes, newest first.
+func recent(last config.Change) []string {
+	if last.ID == "" {
+		return nil
+	}
+	ids := append([]string{last.ID}, last.Recent...)
+	return ids[:min(len(ids), config.RecentChanges)]
+}
+
+func (e *Editor) txn(doc *config.Document, change *Change, base int64) (store.Txn, error) {
+	value, err := doc.Encode()
+	if err != nil {
+		return store.Txn{}, err
+	}
+	history, err := json.Marshal(change)
+	if err != nil {
+		return store.Txn{}, errors.Wrap(err, "encode change")
+	}
+	key := e.prefix + config.DocumentKey
+	txn := store.Txn{
+		Compares: []store.Compare{{Key: key, Revision: base}},
+		Puts:     []store.Put{{Key: key, Value: value}, {Key: e.historyKey(change.Number), Value: history}},
+	}
+	if change.Number > HistoryLength {
+		txn.Deletes = []string{e.historyKey(change.Number - HistoryLength)}
+	}
+	return txn, nil
+}
+
+func (e *Editor) historyKey(number uint64) string {
+	return fmt.Sprintf("%s%s%020d", e.prefix, HistoryPrefix, number)
+}
+
+// find returns the change with the ID if the current document holds it.
+func (e *Editor) find(ctx context.Context, id string, current *Current) (*Change, error) {
+	last := current.Document.Change
+	index := slices.Index(append([]string{last.ID}, last.Recent...), id)
+	if index < 0 {
+		return nil, nil
+	}
+	return e.change(ctx, last.Number-uint64(index))
+}
+
+func (e *Editor) change(ctx context.Context, number uint64) (*Change, error) {
+	listing, err := e.store.Get(ctx, e.historyKey(number))
+	if err != nil {
+		return nil, err
+	}
+	if len(listing.Records) == 0 {
+		return nil, errors.Errorf("change %d is no longer kept", number)
+	}
+	return decodeChange(listing.Records[0])
+}
+
+func decodeChange(record store.Record) (*Change, error) {
+	change := &Change{}
+	if err := json.Unmarshal(record.Value, change); err != nil {
+		return nil, errors.Wrapf(err, "decode %s", record.Key)
+	}
+	change.Revision = record.ModRevision
+	return change, nil
+}
+
+// History returns the changes that are kept, newest first.
+func (e *Editor) History(ctx context.Context) ([]*Change, error) {
+	listing, err := e.store.List(ctx, e.prefix+HistoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var changes []*Change
+	for _, record := range slices.Backward(listing.Records) {
+		change, err := decodeChange(record)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
+
+// Undo proposes the inverse of a past change as a new one.
+func (e *Editor) Undo(ctx context.Context, number uint64, author string) (*Change, error) {
+	change, err := e.change(ctx, number)
+	if err != nil {
+		return nil, err
+	}
+	note := fmt.Sprintf("undo of change %d", number)
+	return e.Commit(ctx, Proposal{Author: author, Note: note, Edits: Invert(change.Edits)})
+}
+
+// Merge returns the edits that a whole document asks for. The document's
+// change number says which version it was made from; edits that others made
+// since then are not taken back.
+func (e *Editor) Merge(ctx context.Context, wanted *config.Document) ([]Edit, error) {
+	current, err := e.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	base := current.Document
+	for base.Change.Number > wanted.Change.Number {
+		change, err := e.change(ctx, base.Change.Number)
+		if err != nil {
+			return nil, errors.Wrap(err, "the document was made from a version that is too old; run 'mangomast show' again")
+		}
+		number := base.Change.Number
+		if base, err = Apply(base, Invert(change.Edits)); err != nil {
+			return nil, errors.Wrapf(err, "take back change %d", number)
+		}
+		base.Change = config.Change{Number: number - 1}
+	}
+	return Diff(base, wanted)
+}
