Add the operators' API, the command line and the demo

Cause: operators had no way to change the configuration but writing to the store, and a newcomer nothing to run.

Change: every node serves the operators' API on its admin listener; package operator has its messages and client; mangomast has demo, validate, apply, edit, show, history, undo, status, key grant, key withdraw, operator new. Tokens have 160 random bits and are kept as hashes, in the settings for the first operator or in the document.

Excluded: cookies for the API (another site's page could use them).

The console builds on the same service.

--- a/edit/edit.go
+++ b/edit/edit.go
@@ -200,3 +200,9 @@
 	}
 	return p, nil
 }
+
+// NewElement returns the edit that adds an element to a collection.
+func NewElement(collection, id string, value any) (Edit, error) {
+	data, err := json.Marshal(value)
+	return Edit{Field: "/" + collection + "/" + id, New: data}, errors.Wrap(err, "encode element")
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,286 @@
+// Package demo runs a small fleet in one process on loopback: a stand-in
+// store, four nodes in two regions with stand-in upstreams of both
+// deployments, and callers.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/edit"
+	"github.com/mangomast/mangomast/internal/httpserver"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/jsonc"
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/node"
+	"github.com/mangomast/mangomast/operator"
+	"github.com/mangomast/mangomast/settings"
+	"github.com/mangomast/mangomast/store/etcd"
+
+	// The demo's nodes are ordinary ones.
+	_ "github.com/mangomast/mangomast/plugin/standard"
+)
+
+const (
+	secret      = "the secret of a fleet on one machine"
+	reportEvery = 2 * time.Second
+	readyPoll   = 50 * time.Millisecond
+	slots       = 8
+	connections = 64
+)
+
+// place is one VM of the demo.
+type place struct {
+	vm, domain, region, service, next string
+}
+
+var places = []place{
+	{"desk-1", "riga-a", "riga", "dispatch", "/fares/quote"},
+	{"desk-2", "jurmala-a", "jurmala", "fares", ""},
+	{"shop-1", "north-a", "north", "cards", "/models/core-box"},
+	{"shop-2", "south-a", "south", "models", ""},
+}
+
+// fleet is the running demo.
+type fleet struct {
+	out      io.Writer
+	storeURL string
+	nodes    []*settings.Node
+	token    string
+	hash     string
+	keys     []string
+	group    *errgroup.Group
+}
+
+// Options are the inputs of Run.
+type Options struct {
+	Out io.Writer
+	// Ready, if not nil, is called once all nodes serve, with the address of
+	// an admin listener and an operator's token.
+	Ready func(admin, token string)
+}
+
+// Run runs the demo until the context ends.
+func Run(ctx context.Context, opts Options) error {
+	group, groupCtx := errgroup.WithContext(ctx)
+	f := &fleet{out: opts.Out, group: group}
+	f.token, f.hash = operator.NewToken()
+	err := f.start(groupCtx)
+	if err == nil {
+		err = f.waitReady(groupCtx)
+	}
+	if err == nil {
+		f.introduce()
+		if opts.Ready != nil {
+			opts.Ready("http://"+f.nodes[0].Listen.Admin, f.token)
+		}
+		group.Go(func() error { return f.call(groupCtx) })
+	}
+	if waitErr := group.Wait(); err == nil {
+		err = waitErr
+	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		err = nil
+	}
+	_, _ = fmt.Fprintln(opts.Out, "demo ended")
+	return err
+}
+
+func (f *fleet) start(ctx context.Context) error {
+	store := httpserver.New("127.0.0.1:0", standin.NewStore())
+	if err := f.serve(ctx, store); err != nil {
+		return err
+	}
+	f.storeURL = "http://" + store.Address()
+	if err := f.applyDocument(ctx); err != nil {
+		return err
+	}
+	for _, p := range places {
+		if err := f.startVM(ctx, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) serve(ctx context.Context, server *httpserver.Server) error {
+	if err := server.Listen(); err != nil {
+		return err
+	}
+	f.group.Go(func() error { return server.Run(ctx) })
+	return nil
+}
+
+func (f *fleet) applyDocument(ctx context.Context) error {
+	doc := &config.Document{}
+	for _, name := range []string{"beach-riders", "old-town-clerks", "kiwi-castings"} {
+		key := config.NewKey()
+		f.keys = append(f.keys, key)
+		doc.Organisations = append(doc.Organisations, config.Organisation{ID: name, Weight: 1, Rate: 200, Burst: 200})
+		doc.Keys = append(doc.Keys, config.Key{ID: name + "-1", Organisation: name, Hash: config.HashKey(key)})
+	}
+	for i, p := range places {
+		doc.Services = append(doc.Services, config.Service{ID: p.service})
+		weight := 1
+		if i == 0 {
+			weight = 2
+		}
+		doc.Domains = append(doc.Domains, config.FailureDomain{ID: p.domain, Region: p.region, Weight: weight})
+		doc.Routes = append(doc.Routes, config.Route{
+			ID: p.service, Method: "*", Path: "/" + p.service + "/", Service: p.service, Idempotent: true,
+			OpenTo: []string{config.Everyone}, Importance: uint8(3 + i), Deadline: jsonc.Duration(2 * time.Second),
+			RetryBudget: 2, MaxRequestBytes: 1 << 20, MaxAnswerBytes: 8 << 20,
+		})
+	}
+	edits, err := edit.Diff(&config.Document{}, doc)
+	if err != nil {
+		return err
+	}
+	editor := edit.NewEditor(etcd.New(etcd.Options{Endpoints: []string{f.storeURL}}), "/mangomast/", clockwork.NewRealClock())
+	_, err = editor.Commit(ctx, edit.Proposal{Author: "demo", Note: "first document", Edits: edits})
+	return err
+}
+
+// startVM runs one upstream and its node.
+func (f *fleet) startVM(ctx context.Context, p place) error {
+	addresses, err := freeAddresses(5)
+	if err != nil {
+		return err
+	}
+	n := &settings.Node{
+		VM: p.vm, FailureDomain: p.domain, Region: p.region, FleetSecret: secret, LogLevel: "error",
+		Listen: settings.Listen{Callers: addresses[0], Mesh: addresses[1], Egress: addresses[2], Admin: addresses[3]},
+		Store:  settings.Store{Endpoints: []string{f.storeURL}},
+	}
+	n.SetDefaults()
+	if len(f.nodes) > 0 {
+		n.Seeds = []string{f.nodes[0].Listen.Mesh}
+	}
+	first := struct {
+		Operators []config.Operator `json:"operators"`
+	}{[]config.Operator{{ID: "night-shift", Hash: f.hash}}}
+	raw, err := json.Marshal(first)
+	if err != nil {
+		return errors.Wrap(err, "encode operators")
+	}
+	n.Modules = map[string]json.RawMessage{"operator": raw}
+	f.nodes = append(f.nodes, n)
+	behaviour := standin.Behaviour{WorkMicros: 4000, Jitter: 0.5}
+	if p.next != "" {
+		behaviour.Next = []string{p.next}
+	}
+	upstream := standin.NewUpstream(standin.UpstreamOptions{Slots: slots, Egress: "http://" + n.Listen.Egress, Behaviour: behaviour})
+	if err := f.serve(ctx, httpserver.New(addresses[4], upstream)); err != nil {
+		return err
+	}
+	announcer := &standin.Announcer{
+		Egress: "http://" + n.Listen.Egress, Service: p.service, Address: addresses[4], Slots: slots, Connections: connections,
+	}
+	f.group.Go(func() error { return announcer.Run(ctx) })
+	f.group.Go(func() error { return node.Run(ctx, n, io.Discard) })
+	return nil
+}
+
+// waitReady waits until every node knows every upstream and has configuration.
+func (f *fleet) waitReady(ctx context.Context) error {
+	for _, n := range f.nodes {
+		client := operator.NewClient("http://"+n.Listen.Admin, f.token)
+		for {
+			status, err := client.Status(ctx)
+			if err == nil && status.Revision > 0 && status.Fresh && readyMembers(status) == len(f.nodes) {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func readyMembers(status *operator.Status) int {
+	ready := 0
+	for _, m := range status.Members {
+		if m.State == membership.Ready {
+			ready++
+		}
+	}
+	return ready
+}
+
+func (f *fleet) introduce() {
+	_, _ = fmt.Fprintf(f.out, "four nodes serve: %s, %s, %s, %s\n", places[0].vm, places[1].vm, places[2].vm, places[3].vm)
+	_, _ = fmt.Fprintf(f.out, "console: http://%s/ (sign in with token %s)\n", f.nodes[0].Listen.Admin, f.token)
+	_, _ = fmt.Fprintf(f.out, "try:     curl -i -H 'Authorization: Bearer %s' http://%s/dispatch/ride\n", f.keys[0], f.nodes[0].Listen.Callers)
+	_, _ = fmt.Fprintf(f.out, "or:      go run ./cmd/mangomast status --node http://%s --token %s\n", f.nodes[0].Listen.Admin, f.token)
+}
+
+// call sends requests through the nodes in turn and reports what came back.
+func (f *fleet) call(ctx context.Context) error {
+	const pause = 10 * time.Millisecond
+	client := &http.Client{Timeout: 5 * time.Second}
+	outcomes := [2]int{}
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
+	for number := 0; ; number++ {
+		if f.callOnce(ctx, client, number) == nil {
+			outcomes[0]++
+		} else {
+			outcomes[1]++
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-report.C:
+			_, _ = fmt.Fprintf(f.out, "callers: %d answered, %d refused or failed\n", outcomes[0], outcomes[1])
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (f *fleet) callOnce(ctx context.Context, client *http.Client, number int) error {
+	n := f.nodes[number%len(f.nodes)]
+	target := "http://" + n.Listen.Callers + "/" + places[number%2*2].service + "/demo?bytes=200"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+f.keys[number%len(f.keys)])
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+	return nil
+}
+
+func freeAddresses(count int) ([]string, error) {
+	addresses := make([]string, count)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer func() { _ = l.Close() }()
+		addresses[i] = l.Addr().String()
+	}
+	return addresses, nil
+}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -40,6 +40,9 @@
 	return errors.Wrapf(err, "listen on %s", s.address)
 }
 
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listen.Addr().String() }
+
 // Run serves until the context ends, then closes every connection.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -25,7 +25,7 @@
 
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/internal/standin"
-	"github.com/mangomast/mangomast/plugin/admin"
+	"github.com/mangomast/mangomast/operator"
 	"github.com/mangomast/mangomast/settings"
 	"github.com/mangomast/mangomast/store"
 	"github.com/mangomast/mangomast/store/etcd"
@@ -266,9 +266,9 @@
 }
 
 // Status returns a node's view of the fleet.
-func (r *Rig) Status(ctx context.Context, node *Node) (admin.Status, error) {
-	var status admin.Status
-	err := getJSON(ctx, "http://"+node.Admin+"/api/status", &status)
+func (r *Rig) Status(ctx context.Context, node *Node) (operator.Status, error) {
+	var status operator.Status
+	err := getJSON(ctx, "http://"+node.Admin+operator.PathStatus, &status)
 	return status, err
 }
 
@@ -297,7 +297,7 @@
 	}
 }
 
-func allReady(status admin.Status) bool {
+func allReady(status operator.Status) bool {
 	for _, entry := range status.Members {
 		if entry.State.String() != "ready" {
 			return false
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,137 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/edit"
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/membership"
+)
+
+const clientTimeout = 15 * time.Second
+
+// Client calls the API of one node. It is safe for concurrent use. Refusals
+// are returned as *finding.Error, *edit.ConflictError or plain errors.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// NewClient returns a client for a node's admin address, such as
+// http://127.0.0.1:8083.
+func NewClient(base, token string) *Client {
+	return &Client{base: base, token: token, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Status is a node's view of the fleet.
+type Status struct {
+	VM       string             `json:"vm"`
+	Revision int64              `json:"revision"`
+	Fresh    bool               `json:"fresh"`
+	Members  []membership.Entry `json:"members"`
+}
+
+// Document reads the document.
+func (c *Client) Document(ctx context.Context) (*DocumentAnswer, error) {
+	answer := &DocumentAnswer{}
+	return answer, c.call(ctx, http.MethodGet, PathDocument, nil, answer)
+}
+
+// Merge returns the edits that a whole document amounts to.
+func (c *Client) Merge(ctx context.Context, doc *config.Document) ([]edit.Edit, error) {
+	answer := &MergeAnswer{}
+	err := c.call(ctx, http.MethodPost, PathMerge, MergeRequest{Document: doc}, answer)
+	return answer.Edits, err
+}
+
+// Change makes edits. The request is sent under one ID, so that the store
+// takes it once.
+func (c *Client) Change(ctx context.Context, note string, edits []edit.Edit) (*edit.Change, error) {
+	change := &edit.Change{}
+	request := ChangeRequest{ID: uuid.NewString(), Note: note, Edits: edits}
+	return change, c.call(ctx, http.MethodPost, PathChanges, request, change)
+}
+
+// Undo takes a past change back.
+func (c *Client) Undo(ctx context.Context, number uint64) (*edit.Change, error) {
+	change := &edit.Change{}
+	return change, c.call(ctx, http.MethodPost, PathUndo, UndoRequest{Number: number}, change)
+}
+
+// History returns the past changes, newest first.
+func (c *Client) History(ctx context.Context) ([]edit.Change, error) {
+	var changes []edit.Change
+	return changes, c.call(ctx, http.MethodGet, PathHistory, nil, &changes)
+}
+
+// GrantKey makes a key for an organisation.
+func (c *Client) GrantKey(ctx context.Context, request KeyRequest) (*KeyAnswer, error) {
+	answer := &KeyAnswer{}
+	return answer, c.call(ctx, http.MethodPost, PathKeys, request, answer)
+}
+
+// WithdrawKey removes a key.
+func (c *Client) WithdrawKey(ctx context.Context, id string) (*edit.Change, error) {
+	change := &edit.Change{}
+	return change, c.call(ctx, http.MethodDelete, PathKeys+"/"+id, nil, change)
+}
+
+// Progress says how far a revision has come into force.
+func (c *Client) Progress(ctx context.Context, revision int64) (*Progress, error) {
+	progress := &Progress{}
+	path := PathProgress + "?revision=" + strconv.FormatInt(revision, 10)
+	return progress, c.call(ctx, http.MethodGet, path, nil, progress)
+}
+
+// Status returns the node's view of the fleet.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	status := &Status{}
+	return status, c.call(ctx, http.MethodGet, PathStatus, nil, status)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "no answer from the node at %s; give another with --node", c.base)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return problemOf(resp)
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(answer), "decode answer")
+}
+
+func problemOf(resp *http.Response) error {
+	var problem Problem
+	if err := json.NewDecoder(resp.Body).Decode(&problem); err != nil {
+		return fmt.Errorf("the node answered %s", resp.Status)
+	}
+	switch {
+	case len(problem.Conflicts) > 0:
+		return &edit.ConflictError{Conflicts: problem.Conflicts}
+	case len(problem.Findings) > 0:
+		return &finding.Error{Findings: problem.Findings}
+	}
+	return errors.New(problem.Message)
+}
--- a/plugin/admin/admin.go
+++ b/plugin/admin/admin.go
@@ -13,6 +13,7 @@
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/operator"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
 )
@@ -52,7 +53,7 @@
 	}
 	e := echo.New()
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(ctx.Registry, promhttp.HandlerOpts{})))
-	e.GET("/api/status", m.serveStatus)
+	e.GET(operator.PathStatus, m.serveStatus)
 	m.server = httpserver.New(ctx.Node.Listen.Admin, e)
 	kernel.Provide(ctx, e)
 	return nil
@@ -66,16 +67,8 @@
 	return []kernel.Actor{{Name: "serve", Run: m.server.Run}}
 }
 
-// Status is the node's view of the fleet, as JSON.
-type Status struct {
-	VM       string             `json:"vm"`
-	Revision int64              `json:"revision"`
-	Fresh    bool               `json:"fresh"`
-	Members  []membership.Entry `json:"members"`
-}
-
 func (m *Module) serveStatus(c echo.Context) error {
-	status := Status{VM: m.members.Self().VM, Fresh: m.config.Fresh(), Members: m.members.View().All()}
+	status := operator.Status{VM: m.members.Self().VM, Fresh: m.config.Fresh(), Members: m.members.View().All()}
 	if snapshot := m.config.Snapshot(); snapshot != nil {
 		status.Revision = snapshot.Revision
 	}
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -11,5 +11,6 @@
 	_ "github.com/mangomast/mangomast/plugin/ingress"
 	_ "github.com/mangomast/mangomast/plugin/membership"
 	_ "github.com/mangomast/mangomast/plugin/mesh"
+	_ "github.com/mangomast/mangomast/plugin/operator"
 	_ "github.com/mangomast/mangomast/plugin/store"
 )
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -113,12 +113,13 @@
 	if findings.Locate == nil {
 		return node, findings
 	}
-	node.setDefaults()
+	node.SetDefaults()
 	node.validate(findings)
 	return node, findings
 }
 
-func (n *Node) setDefaults() {
+// SetDefaults fills the fields that may be left empty.
+func (n *Node) SetDefaults() {
 	if n.Store.Prefix == "" {
 		n.Store.Prefix = "/mangomast/"
 	}
