--- a/config/document.go
+++ b/config/document.go
@@ -142,5 +142,8 @@
 	return copied, errors.Wrap(json.Unmarshal(data, copied), "copy document")
 }
 
+// StreamPrefix starts the keys of the revision stream, after the store's prefix.
+const StreamPrefix = "config/"
+
 // DocumentKey is the document's key in the store, after the prefix.
 const DocumentKey = "config/document"
--- a/config/owner.go
+++ b/config/owner.go
@@ -1,5 +1,11 @@
 package config
 
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
 // OwnersKey is the owner table's key in the store, after the prefix.
 const OwnersKey = "config/owners"
 
@@ -20,6 +26,16 @@
 	Owners   []Owner `json:"owners" cbor:"2,keyasint"`
 }
 
+// ParseOwners decodes the owner table's value in the store.
+func ParseOwners(value []byte, revision int64) (*OwnerTable, error) {
+	table := &OwnerTable{}
+	if err := json.Unmarshal(value, table); err != nil {
+		return nil, errors.Wrap(err, "decode owner table")
+	}
+	table.Revision = revision
+	return table, nil
+}
+
 // Owner returns the owner of an organisation; ok is false if it has none.
 func (t *OwnerTable) Owner(organisation string) (owner Owner, ok bool) {
 	if t == nil {
@@ -32,3 +48,11 @@
 	}
 	return Owner{}, false
 }
+
+// StreamRevision returns the table's revision; 0 for no table.
+func (t *OwnerTable) StreamRevision() int64 {
+	if t == nil {
+		return 0
+	}
+	return t.Revision
+}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -13,6 +13,9 @@
 	// Owners says which node grants each organisation's rate; nil before the
 	// first table.
 	Owners *OwnerTable
+	// Stream is the revision of the stream that the document and the owner
+	// table are the state of. It is at least the revision of both.
+	Stream int64
 
 	organisations map[string]*Organisation
 	keys          map[string]*Key
@@ -27,7 +30,7 @@
 	// Fresh reports whether there is recent proof that the snapshot is the
 	// latest accepted one. Keys and rates must not be served without it.
 	Fresh() bool
-	// Accepted returns the highest revision known to be in force on every
+	// Accepted returns the highest revision of the stream known to be in force on every
 	// node that may serve; 0 before the first. It never goes back.
 	Accepted() int64
 }
@@ -36,6 +39,7 @@
 func NewSnapshot(doc *Document, revision int64) *Snapshot {
 	s := &Snapshot{
 		Revision:      revision,
+		Stream:        revision,
 		Document:      doc,
 		organisations: make(map[string]*Organisation, len(doc.Organisations)),
 		keys:          make(map[string]*Key, len(doc.Keys)),
@@ -54,6 +58,15 @@
 	return s
 }
 
+// WithOwners returns the snapshot with another owner table, at the revision
+// of the stream.
+func (s *Snapshot) WithOwners(owners *OwnerTable, stream int64) *Snapshot {
+	copied := *s
+	copied.Owners = owners
+	copied.Stream = stream
+	return &copied
+}
+
 func (s *Snapshot) addRoute(route *Route) {
 	if strings.HasSuffix(route.Path, "/") {
 		s.prefixes = append(s.prefixes, route)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -175,6 +175,9 @@
 	resp := etcd.RangeResponse{Header: etcd.Header{Revision: s.revision}}
 	for key, kv := range s.keys {
 		if inRange(key, req.Key, req.RangeEnd) {
+			if req.KeysOnly {
+				kv.Value = nil
+			}
 			resp.Kvs = append(resp.Kvs, kv)
 		}
 	}
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/kernel"
@@ -26,6 +26,9 @@
 const (
 	retryDelay  = 300 * time.Millisecond
 	readTimeout = 2 * time.Second
+	// Names of the stream's keys after config.StreamPrefix.
+	documentName = "document"
+	ownersName   = "owners"
 )
 
 func init() {
@@ -40,10 +43,12 @@
 type Module struct {
 	store     store.Store
 	announcer membership.Announcer
-	key       string
+	prefix    string
 	clock     clockwork.Clock
 	log       log.Interface
-	current   atomic.Pointer[config.Snapshot]
+	// owners is used by the watching goroutine alone.
+	owners  *config.OwnerTable
+	current atomic.Pointer[config.Snapshot]
 }
 
 var (
@@ -61,7 +66,7 @@
 	if m.announcer, err = kernel.Require[membership.Announcer](ctx); err != nil {
 		return err
 	}
-	m.key = ctx.Node.Store.Prefix + config.DocumentKey
+	m.prefix = ctx.Node.Store.Prefix + config.StreamPrefix
 	m.clock, m.log = ctx.Clock, ctx.Log
 	kernel.Provide[config.Source](ctx, m)
 	return nil
@@ -76,7 +81,7 @@
 // Accepted implements config.Source.
 func (m *Module) Accepted() int64 {
 	if current := m.current.Load(); current != nil {
-		return current.Revision
+		return current.Stream
 	}
 	return 0
 }
@@ -99,36 +104,66 @@
 	}
 }
 
-// follow reads the document and takes in changes until the watch ends.
+// follow reads the stream's keys and takes in changes until the watch ends.
 func (m *Module) follow(ctx context.Context) error {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	listing, err := m.store.Get(readCtx, m.key)
+	listing, err := m.store.List(readCtx, m.prefix)
 	cancel()
 	if err != nil {
 		return err
 	}
-	for _, record := range listing.Records {
-		m.accept(record)
-	}
-	return m.store.Watch(ctx, m.key, listing.Revision+1, func(batch store.WatchBatch) {
+	m.accept(listing.Records)
+	return m.store.Watch(ctx, m.prefix, listing.Revision+1, func(batch store.WatchBatch) {
+		var records []store.Record
 		for _, event := range batch.Events {
 			if !event.Deleted {
-				m.accept(event.Record)
+				records = append(records, event.Record)
 			}
 		}
+		m.accept(records)
 	})
 }
 
-func (m *Module) accept(record store.Record) {
-	if current := m.current.Load(); current != nil && record.ModRevision <= current.Revision {
-		return
+// accept takes in records of the stream that are newer than those known.
+func (m *Module) accept(records []store.Record) {
+	for _, record := range records {
+		if m.acceptRecord(record) {
+			m.announcer.Announce(func(e *membership.Entry) { e.ConfigRevision = record.ModRevision })
+			m.log.WithField("revision", record.ModRevision).Info("configuration is in force")
+		}
 	}
-	doc := &config.Document{}
-	if err := json.Unmarshal(record.Value, doc); err != nil {
-		m.log.WithError(errors.Wrap(err, "decode document")).Error("configuration in the store is invalid; keeping the last one")
-		return
+}
+
+func (m *Module) acceptRecord(record store.Record) bool {
+	current := m.current.Load()
+	switch strings.TrimPrefix(record.Key, m.prefix) {
+	case documentName:
+		if current != nil && record.ModRevision <= current.Revision {
+			return false
+		}
+		doc := &config.Document{}
+		if err := json.Unmarshal(record.Value, doc); err != nil {
+			m.log.WithError(err).Error("configuration in the store is invalid; keeping the last one")
+			return false
+		}
+		next := config.NewSnapshot(doc, record.ModRevision)
+		m.current.Store(next.WithOwners(m.owners, max(record.ModRevision, m.owners.StreamRevision())))
+	case ownersName:
+		if m.owners != nil && record.ModRevision <= m.owners.Revision {
+			return false
+		}
+		table, err := config.ParseOwners(record.Value, record.ModRevision)
+		if err != nil {
+			m.log.WithError(err).Error("owner table in the store is invalid; keeping the last one")
+			return false
+		}
+		m.owners = table
+		if current == nil {
+			return false
+		}
+		m.current.Store(current.WithOwners(table, max(current.Stream, record.ModRevision)))
+	default:
+		return false
 	}
-	m.current.Store(config.NewSnapshot(doc, record.ModRevision))
-	m.announcer.Announce(func(e *membership.Entry) { e.ConfigRevision = record.ModRevision })
-	m.log.WithField("revision", record.ModRevision).Info("configuration is in force")
+	return true
 }
--- a/store/etcd/etcd.go
+++ b/store/etcd/etcd.go
@@ -66,6 +66,11 @@
 	return c.read(ctx, RangeRequest{Key: []byte(prefix), RangeEnd: RangeEnd([]byte(prefix))})
 }
 
+// Revisions implements store.Store.
+func (c *Client) Revisions(ctx context.Context, prefix string) (store.Listing, error) {
+	return c.read(ctx, RangeRequest{Key: []byte(prefix), RangeEnd: RangeEnd([]byte(prefix)), KeysOnly: true})
+}
+
 func (c *Client) read(ctx context.Context, req RangeRequest) (store.Listing, error) {
 	var resp RangeResponse
 	if err := c.call(ctx, PathRange, req, &resp); err != nil {
--- a/store/etcd/etcd_test.go
+++ b/store/etcd/etcd_test.go
@@ -80,3 +80,14 @@
 	assert.NilError(t, client.Revoke(t.Context(), id))
 	assert.Equal(t, len(backend.Keys("/")), 0)
 }
+
+func TestRevisionsLeaveValuesOut(t *testing.T) {
+	client, _ := newClient(t)
+	written, err := client.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: "/a", Value: []byte("1")}, {Key: "/b"}}})
+	assert.NilError(t, err)
+	listing, err := client.Revisions(t.Context(), "/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(listing.Records), 2)
+	assert.Equal(t, listing.Records[0].ModRevision, written.Revision)
+	assert.Equal(t, len(listing.Records[0].Value), 0)
+}
--- a/store/etcd/wire.go
+++ b/store/etcd/wire.go
@@ -32,6 +32,8 @@
 type RangeRequest struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	// KeysOnly leaves the values out of the response.
+	KeysOnly bool `json:"keys_only,omitempty"`
 }
 
 // RangeResponse answers a RangeRequest.
--- a/store/store.go
+++ b/store/store.go
@@ -89,6 +89,9 @@
 	Get(ctx context.Context, key string) (Listing, error)
 	// List reads all keys that start with prefix, in order.
 	List(ctx context.Context, prefix string) (Listing, error)
+	// Revisions reads all keys that start with prefix, in order, without
+	// their values.
+	Revisions(ctx context.Context, prefix string) (Listing, error)
 	// Commit runs a transaction.
 	Commit(ctx context.Context, txn Txn) (TxnResult, error)
 	// Watch calls handle for each batch of changes below prefix from the
