Add the operators' console

Change: every node serves server-side HTML forms on its admin listener: sign-in, overview, organisations, keys, routes, services, failure domains, operators, preview of the difference, progress until in force with the names of the VMs that it waits for, history with undo, and a conflict page. Forms carry the values that their author saw.

Measured: go test ./plugin/console against a demo fleet: a rate is changed with a finding beside its field first, a second operator gets the conflict page, a form without its token is refused.

--- /dev/null
+++ b/plugin/console/console_test.go
@@ -0,0 +1,160 @@
+package console_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/cookiejar"
+	"net/url"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangomast/mangomast/internal/demo"
+)
+
+// browser is a signed-in operator's browser.
+type browser struct {
+	t      *testing.T
+	base   string
+	client *http.Client
+}
+
+func startConsole(t *testing.T) (base, token string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ready := make(chan [2]string, 1)
+	done := make(chan error, 1)
+	go func() {
+		done <- demo.Run(ctx, demo.Options{Out: io.Discard, Ready: func(admin, token string) {
+			ready <- [2]string{admin, token}
+		}})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	found := <-ready
+	return found[0], found[1]
+}
+
+func newBrowser(t *testing.T, base string) *browser {
+	t.Helper()
+	jar, err := cookiejar.New(nil)
+	assert.NilError(t, err)
+	return &browser{t: t, base: base, client: &http.Client{Jar: jar}}
+}
+
+func (b *browser) read(resp *http.Response, err error) (int, string) {
+	b.t.Helper()
+	assert.NilError(b.t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(b.t, err)
+	return resp.StatusCode, string(body)
+}
+
+func (b *browser) get(path string) (int, string) {
+	b.t.Helper()
+	return b.read(b.client.Get(b.base + path))
+}
+
+func (b *browser) post(path string, values url.Values) (int, string) {
+	b.t.Helper()
+	return b.read(b.client.PostForm(b.base+path, values))
+}
+
+var (
+	inputPattern = regexp.MustCompile(`<input[^>]*\bname="([^"]+)"[^>]*?(?:value="([^"]*)")?[^>]*>`)
+	namePattern  = regexp.MustCompile(`\bname="([^"]+)"`)
+	valuePattern = regexp.MustCompile(`\bvalue="([^"]*)"`)
+)
+
+// fields returns the inputs of the page's last form after the marker.
+func fields(body, marker string) url.Values {
+	body = body[strings.Index(body, marker):]
+	values := url.Values{}
+	for _, tag := range inputPattern.FindAllString(body, -1) {
+		name := namePattern.FindStringSubmatch(tag)[1]
+		if strings.Contains(tag, `type="checkbox"`) && !strings.Contains(tag, " checked") {
+			continue
+		}
+		value := valuePattern.FindStringSubmatch(tag)
+		if value == nil {
+			value = []string{"", "on"}
+		}
+		values.Set(name, strings.NewReplacer("&#34;", `"`, "&amp;", "&", "&#43;", "+").Replace(value[1]))
+	}
+	return values
+}
+
+func (b *browser) signIn(token string) {
+	b.t.Helper()
+	status, body := b.post("/login", url.Values{"token": {token}})
+	assert.Equal(b.t, status, http.StatusOK)
+	assert.Assert(b.t, strings.Contains(body, "4 of 4 VMs"), body)
+}
+
+const (
+	editRate = "/part/organisations/edit/beach-riders"
+	preview  = "/part/organisations/preview"
+)
+
+func TestOperatorChangesARate(t *testing.T) {
+	base, token := startConsole(t)
+	b := newBrowser(t, base)
+	b.signIn(token)
+	_, body := b.get(editRate)
+	form := fields(body, `action="`+preview)
+	assert.Equal(t, form.Get("field.rate"), "200")
+
+	form.Set("field.rate", "many")
+	status, body := b.post(preview, form)
+	assert.Equal(t, status, http.StatusUnprocessableEntity)
+	assert.Assert(t, strings.Contains(body, `id="rate-problem"`), body)
+
+	form.Set("field.rate", "55")
+	_, body = b.post(preview, form)
+	assert.Assert(t, strings.Contains(body, "/organisations/beach-riders/rate"), body)
+	_, body = b.post("/changes", fields(body, `action="/changes`))
+	assert.Assert(t, strings.Contains(body, "in force on"), body)
+	_, body = b.get("/history")
+	assert.Assert(t, strings.Contains(body, "night-shift"), body)
+	_, body = b.get(editRate)
+	assert.Equal(t, fields(body, `action="`+preview).Get("field.rate"), "55")
+}
+
+func TestSecondOperatorSeesTheConflict(t *testing.T) {
+	base, token := startConsole(t)
+	first, second := newBrowser(t, base), newBrowser(t, base)
+	first.signIn(token)
+	second.signIn(token)
+	_, body := second.get(editRate)
+	late := fields(body, `action="`+preview)
+	_, body = first.get(editRate)
+	early := fields(body, `action="`+preview)
+	early.Set("field.rate", "55")
+	_, body = first.post(preview, early)
+	first.post("/changes", fields(body, `action="/changes`))
+
+	late.Set("field.rate", "66")
+	status, body := second.post(preview, late)
+	assert.Equal(t, status, http.StatusConflict)
+	assert.Assert(t, strings.Contains(body, "Another operator changed the same field"), body)
+}
+
+func TestFormsNeedSignInAndTheirToken(t *testing.T) {
+	base, token := startConsole(t)
+	stranger := newBrowser(t, base)
+	_, body := stranger.get("/")
+	assert.Assert(t, strings.Contains(body, "Sign in"), body)
+	status, _ := stranger.post("/login", url.Values{"token": {"wrong"}})
+	assert.Equal(t, status, http.StatusUnauthorized)
+
+	b := newBrowser(t, base)
+	b.signIn(token)
+	status, _ = b.post("/undo", url.Values{"number": {"1"}})
+	assert.Equal(t, status, http.StatusForbidden)
+}
--- /dev/null
+++ b/plugin/console/form.go
@@ -0,0 +1,239 @@
+package console
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/edit"
+	"github.com/mangomast/mangomast/jsonc"
+)
+
+// inputKind says how a field is entered.
+type inputKind string
+
+const (
+	inputText   inputKind = "text"
+	inputNumber inputKind = "number"
+	inputBool   inputKind = "checkbox"
+	inputList   inputKind = "list"
+)
+
+// fieldSpec describes one input of a form.
+type fieldSpec struct {
+	Name string
+	Help string
+	Kind inputKind
+	// Optional fields are left out of the document when they are empty.
+	Optional bool
+}
+
+// collectionSpec describes one part of the document.
+type collectionSpec struct {
+	Name   string
+	Title  string
+	Fields []fieldSpec
+}
+
+// collections are the parts that the console shows, in this order.
+var collections = []collectionSpec{
+	newCollection[config.Organisation]("organisations", "Organisations"),
+	newCollection[config.Key]("keys", "Keys"),
+	newCollection[config.Route]("routes", "Routes"),
+	newCollection[config.Service]("services", "Services"),
+	newCollection[config.FailureDomain]("failure_domains", "Failure domains"),
+	newCollection[config.Operator]("operators", "Operators"),
+}
+
+// help explains fields to operators.
+var help = []fieldSpec{
+	{Name: "weight", Help: "share under overload, relative to others"},
+	{Name: "rate", Help: "requests a second over all VMs together"},
+	{Name: "burst", Help: "requests accepted at once above the rate"},
+	{Name: "serve_when_cut_off", Help: "how long a region cut off from the store goes on serving, such as 30s"},
+	{Name: "suspended", Help: "refuse all requests of the organisation"},
+	{Name: "method", Help: "such as GET, or * for any"},
+	{Name: "path", Help: "a path, or a prefix if it ends in /"},
+	{Name: "idempotent", Help: "may run more than once; leave off for charges and orders"},
+	{Name: "open_to", Help: "organisations with commas between, or all"},
+	{Name: "internal", Help: "for upstreams' own calls only, never for callers"},
+	{Name: "importance", Help: "1 is shed first, 9 last"},
+	{Name: "deadline", Help: "time to the whole answer, such as 2s"},
+	{Name: "retry_budget", Help: "retries for one request over the whole chain"},
+	{Name: "hash", Help: "SHA-256 in hexadecimal; the key or token itself is never kept"},
+}
+
+func newCollection[T any](name, title string) collectionSpec {
+	spec := collectionSpec{Name: name, Title: title}
+	t := reflect.TypeFor[T]()
+	for i := range t.NumField() {
+		spec.Fields = append(spec.Fields, newField(t.Field(i)))
+	}
+	return spec
+}
+
+func newField(structField reflect.StructField) fieldSpec {
+	name, options, _ := strings.Cut(structField.Tag.Get("json"), ",")
+	spec := fieldSpec{Name: name, Optional: strings.Contains(options, "omitempty")}
+	if i := slices.IndexFunc(help, func(f fieldSpec) bool { return f.Name == name }); i >= 0 {
+		spec.Help = help[i].Help
+	}
+	switch kind := structField.Type.Kind(); {
+	case structField.Type == reflect.TypeFor[jsonc.Duration](), kind == reflect.String:
+		spec.Kind = inputText
+	case kind == reflect.Bool:
+		spec.Kind = inputBool
+	case kind == reflect.Slice:
+		spec.Kind = inputList
+	default:
+		spec.Kind = inputNumber
+	}
+	return spec
+}
+
+func findCollection(name string) (collectionSpec, bool) {
+	i := slices.IndexFunc(collections, func(c collectionSpec) bool { return c.Name == name })
+	if i < 0 {
+		return collectionSpec{}, false
+	}
+	return collections[i], true
+}
+
+// encode turns what was entered into the field's JSON value; nil if absent.
+// Text that is no number is kept as text, so that validation reports it.
+func (f fieldSpec) encode(entered string) json.RawMessage {
+	entered = strings.TrimSpace(entered)
+	switch f.Kind {
+	case inputBool:
+		if entered == "" && f.Optional {
+			return nil
+		}
+		return mustMarshal(entered != "")
+	case inputList:
+		return mustMarshal(splitList(entered))
+	case inputNumber:
+		var number json.Number
+		if entered == "" && f.Optional {
+			return nil
+		}
+		if json.Unmarshal([]byte(entered), &number) == nil {
+			return json.RawMessage(entered)
+		}
+	}
+	if entered == "" && f.Optional {
+		return nil
+	}
+	return mustMarshal(entered)
+}
+
+func splitList(entered string) []string {
+	list := []string{}
+	for item := range strings.SplitSeq(entered, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			list = append(list, item)
+		}
+	}
+	return list
+}
+
+// mustMarshal encodes text, flags and lists of text, which cannot fail.
+func mustMarshal(value any) json.RawMessage {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// decode turns a field's JSON value into what a form shows.
+func (f fieldSpec) decode(value json.RawMessage) string {
+	if len(value) == 0 {
+		return ""
+	}
+	var text string
+	if json.Unmarshal(value, &text) == nil {
+		return text
+	}
+	var list []string
+	if json.Unmarshal(value, &list) == nil {
+		return strings.Join(list, ", ")
+	}
+	if string(value) == "false" {
+		return ""
+	}
+	return string(value)
+}
+
+// input is one field of a form with what was entered.
+type input struct {
+	fieldSpec
+	Value string
+	// Old is the JSON value when the form was opened.
+	Old      string
+	Problem  string
+	ReadOnly bool
+}
+
+// form is the content of a form page.
+type form struct {
+	Collection collectionSpec
+	ID         string
+	New        bool
+	Note       string
+	Inputs     []input
+	// Other has the findings that belong to no field of the form.
+	Other []string
+}
+
+// openForm returns the form for an element of the document.
+func openForm(spec collectionSpec, id string, doc *config.Document) (form, error) {
+	f := form{Collection: spec, ID: id, New: id == ""}
+	for _, field := range spec.Fields {
+		in := input{fieldSpec: field}
+		if !f.New {
+			value, err := edit.Value(doc, "/"+spec.Name+"/"+id+"/"+field.Name)
+			if err != nil {
+				return f, err
+			}
+			in.Old, in.Value = string(value), field.decode(value)
+			in.ReadOnly = field.Name == "id"
+		}
+		f.Inputs = append(f.Inputs, in)
+	}
+	return f, nil
+}
+
+// edits returns what the form asks for.
+func (f *form) edits() []edit.Edit {
+	if f.New {
+		return []edit.Edit{f.addition()}
+	}
+	var edits []edit.Edit
+	for _, in := range f.Inputs {
+		entered := in.encode(in.Value)
+		if in.ReadOnly || string(entered) == in.Old {
+			continue
+		}
+		e := edit.Edit{Field: "/" + f.Collection.Name + "/" + f.ID + "/" + in.Name, New: entered}
+		if in.Old != "" {
+			e.Old = json.RawMessage(in.Old)
+		}
+		edits = append(edits, e)
+	}
+	return edits
+}
+
+// rawFields are an element's fields by name, for the json package.
+type rawFields map[string]json.RawMessage
+
+func (f *form) addition() edit.Edit {
+	fields := rawFields{}
+	for _, in := range f.Inputs {
+		if value := in.encode(in.Value); value != nil {
+			fields[in.Name] = value
+		}
+	}
+	return edit.Edit{Field: "/" + f.Collection.Name + "/" + f.ID, New: mustMarshal(fields)}
+}
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -5,6 +5,7 @@
 	// The modules register themselves.
 	_ "github.com/mangomast/mangomast/plugin/admin"
 	_ "github.com/mangomast/mangomast/plugin/config"
+	_ "github.com/mangomast/mangomast/plugin/console"
 	_ "github.com/mangomast/mangomast/plugin/dispatch"
 	_ "github.com/mangomast/mangomast/plugin/egress"
 	_ "github.com/mangomast/mangomast/plugin/inbound"
