Use strings.Cut in the console's test

Cause: the linter found an index that may be -1. Change: strings.Cut; a marker that is absent now gives an empty form, on which the test fails. Measured: go test ./plugin/console passes.

--- a/plugin/console/console_test.go
+++ b/plugin/console/console_test.go
@@ -74,7 +74,7 @@
 
 // fields returns the inputs of the page's last form after the marker.
 func fields(body, marker string) url.Values {
-	body = body[strings.Index(body, marker):]
+	_, body, _ = strings.Cut(body, marker)
 	values := url.Values{}
 	for _, tag := range inputPattern.FindAllString(body, -1) {
 		name := namePattern.FindStringSubmatch(tag)[1]
