--- a/plugin/console/form.go
+++ b/plugin/console/form.go
@@ -30,6 +30,9 @@
 	Optional bool
 }
 
+// Label is the field's name as people read it.
+func (f fieldSpec) Label() string { return strings.ReplaceAll(f.Name, "_", " ") }
+
 // collectionSpec describes one part of the document.
 type collectionSpec struct {
 	Name   string
