Bound the retries of a request over its whole call tree

Excluded: counting equal calls in progress as retries (refuses equal calls that are none) or as new (a client that timed out gets free sends): they run one after the other. Lending everything down: a lost connection leaves none.

Change: package retry (Budget, Sends, Requests, Throttle) and its module, driven by the ingress, the egress and the dispatcher. An answered 500, 502, 503 or 504 is retried for idempotent calls, at the hop nearest to it only.

Conclusion: the bound holds for every request sent through one ingress node; a caller that spreads the sends of one request over k nodes gets k budgets.

--- a/call/call.go
+++ b/call/call.go
@@ -57,6 +57,10 @@
 	CodeInternal
 )
 
+// CodeRetryBudget means that the request's retry budget is spent, or that the
+// service gets no more retries for now.
+const CodeRetryBudget Code = 30
+
 type codeText struct {
 	name   string
 	status int
@@ -82,6 +86,7 @@
 	CodeUpstreamFailed:   {"upstream_failed", http.StatusBadGateway},
 	CodeStoreUnavailable: {"store_unavailable", http.StatusServiceUnavailable},
 	CodeInternal:         {"internal", http.StatusInternalServerError},
+	CodeRetryBudget:      {"retry_budget", http.StatusServiceUnavailable},
 }
 
 // String returns the code's name in headers, logs and metrics.
@@ -170,6 +175,8 @@
 	RetriesUsed int `cbor:"8,keyasint,omitempty"`
 	// Load is the serving node's state at the time of the reply.
 	Load Load `cbor:"9,keyasint"`
+	// Children is the number of calls that the upstream made for the request.
+	Children int `cbor:"30,keyasint,omitempty"`
 }
 
 // Load is what a serving node says of itself on each reply.
--- a/call/running.go
+++ b/call/running.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/mangomast/mangomast/retry"
 )
 
 // Running is a request that the local upstream is serving now.
@@ -18,8 +20,12 @@
 	// Deadline is the local time by which the answer must be complete.
 	Deadline time.Time
 
-	children    atomic.Int64
-	retriesUsed atomic.Int64
+	// Sends tells the request's repeated calls from first ones.
+	Sends retry.Sends
+
+	children atomic.Int64
+	once     sync.Once
+	retries  *retry.Budget
 }
 
 // NextChildID returns the ID of the next call made on behalf of the request.
@@ -27,27 +33,14 @@
 	return r.Head.ID + "." + strconv.FormatInt(r.children.Add(1), 10)
 }
 
-// TakeRetries reserves up to want retries of the budget and returns how many
-// it got.
-func (r *Running) TakeRetries(want int) int {
-	for {
-		used := r.retriesUsed.Load()
-		left := int64(r.Head.RetryBudget) - used
-		got := min(int64(want), left)
-		if got <= 0 {
-			return 0
-		}
-		if r.retriesUsed.CompareAndSwap(used, used+got) {
-			return int(got)
-		}
-	}
-}
+// Children returns the number of calls made on behalf of the request.
+func (r *Running) Children() int { return int(r.children.Load()) }
 
-// ReturnRetries gives back reserved retries that were not used.
-func (r *Running) ReturnRetries(n int) { r.retriesUsed.Add(-int64(n)) }
-
-// RetriesUsed returns how many retries are reserved or used.
-func (r *Running) RetriesUsed() int { return int(r.retriesUsed.Load()) }
+// Retries returns the request's part of the retry budget.
+func (r *Running) Retries() *retry.Budget {
+	r.once.Do(func() { r.retries = retry.NewBudget(r.Head.RetryBudget) })
+	return r.retries
+}
 
 // Registry holds the requests that run on one node, by context token.
 // It is safe for concurrent use.
--- /dev/null
+++ b/internal/bench/retries.go
@@ -0,0 +1,295 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/jsonc"
+)
+
+func init() {
+	Register(Case{Name: "retries", Help: "upstream calls for one request while every hop of a chain of five fails and everyone retries", Run: runRetries})
+}
+
+const (
+	chainLength = 5
+	// callerSends is how often a caller sends a request that fails.
+	callerSends    = 4
+	callersAtOnce  = 16
+	vmsPerService  = 2
+	callerGivesUp  = 25 * time.Millisecond
+	callerPatience = 10 * time.Second
+)
+
+// retryMode is one way in which every hop fails.
+type retryMode struct {
+	name     string
+	requests int
+	// timeout is the caller's patience for one send.
+	timeout   time.Duration
+	behaviour func(level int) standin.Behaviour
+	// disturb runs during the requests; nil for nothing.
+	disturb func(ctx context.Context, fleet *rig.Rig)
+}
+
+// retryRow is what one mode did.
+type retryRow struct {
+	Mode     string `json:"mode"`
+	Requests int    `json:"requests"`
+	Answered int    `json:"answered"`
+	Bound    int    `json:"bound"`
+	// MaxRuns is the maximum over the requests at each level of the chain.
+	MaxRuns []int `json:"max_runs"`
+	// MaxTotal is the maximum over the requests of the calls at all levels.
+	MaxTotal int `json:"max_total"`
+	// Runs counts the runs of all requests at each level.
+	Runs []int `json:"runs"`
+}
+
+func (r retryRow) holds() bool {
+	for _, runs := range r.MaxRuns {
+		if runs > r.Bound {
+			return false
+		}
+	}
+	return r.MaxRuns[0] > 0
+}
+
+type retryFigures struct {
+	Budget    int        `json:"budget"`
+	Bounded   []retryRow `json:"bounded"`
+	Unbounded retryRow   `json:"unbounded"`
+	// Throttled has the share of retries at each level with the default
+	// throttle; ThrottledBound is what the shares may be.
+	Throttled      []float64 `json:"throttled_retry_shares"`
+	ThrottledBound []float64 `json:"throttled_retry_share_bounds"`
+}
+
+func runRetries(ctx context.Context, env *Env) (*Report, error) {
+	const budget = 3
+	figures := &retryFigures{Budget: budget}
+	report := &Report{Holds: true, Figures: figures, Header: []string{
+		"mode", "requests", "answered", "bound at each level", "max runs at levels 1-5", "max in all",
+	}}
+	// The throttle would hide the budget here: it stops nearly all retries.
+	err := onChain(ctx, budget, `{"reserve": 1000000}`, func(fleet *rig.Rig, key Key) error {
+		for _, mode := range retryModes(budget) {
+			row, err := runRetryMode(ctx, fleet, key, mode, budget)
+			if err != nil {
+				return err
+			}
+			figures.Bounded = append(figures.Bounded, row)
+			report.Holds = report.Holds && row.holds()
+			report.Rows = append(report.Rows, row.cells())
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	err = onChain(ctx, budget, throttleSettings, func(fleet *rig.Rig, key Key) error {
+		return runThrottled(ctx, fleet, key, figures, report)
+	})
+	if err != nil {
+		return nil, err
+	}
+	err = onChain(ctx, 1, `{"unbounded": true}`, func(fleet *rig.Rig, key Key) error {
+		figures.Unbounded, err = runRetryMode(ctx, fleet, key, unboundedMode(), 1)
+		report.Rows = append(report.Rows, figures.Unbounded.cells())
+		return err
+	})
+	return report, err
+}
+
+func (r retryRow) cells() []string {
+	return []string{r.Mode, fmt.Sprint(r.Requests), fmt.Sprint(r.Answered), fmt.Sprint(r.Bound), fmt.Sprint(r.MaxRuns), fmt.Sprint(r.MaxTotal)}
+}
+
+// onChain runs f on a fleet with the services hop-1 to hop-5, each of which
+// calls the next.
+func onChain(ctx context.Context, budget int, settings string, f func(*rig.Rig, Key) error) error {
+	doc := &config.Document{}
+	keys := NewOrganisations(doc, 1, 1e6, 1e6)
+	var nodes []rig.NodeSpec
+	for level := 1; level <= chainLength; level++ {
+		service := hop(level)
+		AddService(doc, service, func(r *config.Route) {
+			r.RetryBudget = budget
+			r.Deadline = jsonc.Duration(callerPatience)
+		})
+		for _, node := range Spread(service, vmsPerService, 100, standin.Behaviour{}) {
+			node.Modules = map[string]json.RawMessage{"retry": json.RawMessage(settings)}
+			nodes = append(nodes, node)
+		}
+	}
+	AddDomains(doc, nodes)
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	return f(fleet, keys[0])
+}
+
+func hop(level int) string { return fmt.Sprintf("hop-%d", level) }
+
+// next returns the targets that the upstream of a level calls.
+func next(level int) []string {
+	if level == chainLength {
+		return nil
+	}
+	return []string{"/" + hop(level+1) + "/x"}
+}
+
+func retryModes(budget int) []retryMode {
+	failing := func(percent int, abort bool) func(int) standin.Behaviour {
+		return func(level int) standin.Behaviour {
+			return standin.Behaviour{
+				WorkMicros: 500, FailPercent: percent, FailLate: true, Abort: abort,
+				Next: next(level), ChildRetries: budget,
+			}
+		}
+	}
+	slow := func(level int) standin.Behaviour {
+		return standin.Behaviour{WorkMicros: 10_000, Jitter: 0.5, Next: next(level), ChildRetries: budget}
+	}
+	return []retryMode{
+		{name: "answered 500", requests: 200, timeout: callerPatience, behaviour: failing(100, false)},
+		{name: "half answered 500", requests: 200, timeout: callerPatience, behaviour: failing(50, false)},
+		{name: "broken connections", requests: 200, timeout: callerPatience, behaviour: failing(100, true)},
+		{name: "half broken", requests: 200, timeout: callerPatience, behaviour: failing(50, true)},
+		{name: "callers give up", requests: 100, timeout: callerGivesUp, behaviour: slow},
+		{name: "nodes cut off", requests: 200, timeout: callerPatience, behaviour: failing(30, false), disturb: flapConnections},
+		{name: "refused connections", requests: 100, timeout: callerPatience, behaviour: failing(50, false), disturb: killLastHop},
+	}
+}
+
+// unboundedMode is milder than the others, because its calls multiply.
+func unboundedMode() retryMode {
+	return retryMode{name: "answered 500, unbounded", requests: 4, timeout: callerPatience, behaviour: func(level int) standin.Behaviour {
+		return standin.Behaviour{WorkMicros: 500, FailPercent: 100, FailLate: true, Next: next(level), ChildRetries: 1}
+	}}
+}
+
+// flapConnections cuts the connections into each node in turn.
+func flapConnections(ctx context.Context, fleet *rig.Rig) {
+	const interval = 40 * time.Millisecond
+	defer fleet.Network.SetRule(func(string, string) rig.Faults { return rig.Faults{} })
+	for i := 0; ctx.Err() == nil; i++ {
+		victim := fleet.Nodes[i%len(fleet.Nodes)].Spec.VM + "/mesh"
+		fleet.Network.SetRule(func(_, listener string) rig.Faults { return rig.Faults{Cut: listener == victim} })
+		time.Sleep(interval)
+	}
+}
+
+// killLastHop ends the upstreams of the last service; their nodes go on.
+func killLastHop(_ context.Context, fleet *rig.Rig) {
+	for _, node := range fleet.Nodes[len(fleet.Nodes)-vmsPerService:] {
+		node.Upstream.Kill()
+	}
+}
+
+func runRetryMode(ctx context.Context, fleet *rig.Rig, key Key, mode retryMode, budget int) (retryRow, error) {
+	for i, node := range fleet.Nodes {
+		if err := fleet.SetBehaviour(ctx, node, mode.behaviour(1+i/vmsPerService)); err != nil {
+			return retryRow{}, err
+		}
+	}
+	row := retryRow{Mode: mode.name, Requests: mode.requests, Bound: 1 + budget}
+	disturbCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	disturbed := make(chan struct{})
+	go func() {
+		defer close(disturbed)
+		if mode.disturb != nil {
+			mode.disturb(disturbCtx, fleet)
+		}
+	}()
+	row.Answered = sendRepeatedly(ctx, fleet, key, mode)
+	stop()
+	<-disturbed
+	return row, countRuns(ctx, fleet, mode, &row)
+}
+
+// sendRepeatedly sends the mode's requests and returns how many succeeded.
+func sendRepeatedly(ctx context.Context, fleet *rig.Rig, key Key, mode retryMode) int {
+	client := newCaller(mode.timeout)
+	succeeded := make([]bool, mode.requests)
+	var group errgroup.Group
+	group.SetLimit(callersAtOnce)
+	for i := range mode.requests {
+		group.Go(func() error {
+			for range callerSends {
+				if succeeded[i] = sendClaimed(ctx, client, fleet.Nodes[i%vmsPerService], key, mode.id(i)); succeeded[i] {
+					break
+				}
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	count := 0
+	for _, ok := range succeeded {
+		if ok {
+			count++
+		}
+	}
+	return count
+}
+
+func (m retryMode) id(number int) string { return fmt.Sprintf("%s-%d", m.name, number) }
+
+// sendClaimed sends a request under an ID that the caller claims.
+func sendClaimed(ctx context.Context, client *http.Client, node *rig.Node, key Key, id string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Callers+"/"+hop(1)+"/x", nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+key.Secret)
+	req.Header.Set("Idempotency-Key", id)
+	req.Header.Set(standin.HeaderTestID, id)
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// countRuns counts the runs of each request at the upstreams.
+func countRuns(ctx context.Context, fleet *rig.Rig, mode retryMode, row *retryRow) error {
+	runs := make([][]int, mode.requests)
+	for i := range runs {
+		runs[i] = make([]int, chainLength)
+	}
+	for n, node := range fleet.Nodes {
+		report, err := fleet.Report(ctx, node)
+		if err != nil && mode.disturb == nil {
+			return err
+		}
+		for i := range runs {
+			runs[i][n/vmsPerService] += report.Runs[mode.id(i)]
+		}
+	}
+	row.MaxRuns, row.Runs = make([]int, chainLength), make([]int, chainLength)
+	for _, levels := range runs {
+		total := 0
+		for level, count := range levels {
+			row.MaxRuns[level] = max(row.MaxRuns[level], count)
+			row.Runs[level] += count
+			total += count
+		}
+		row.MaxTotal = max(row.MaxTotal, total)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/throttle.go
@@ -0,0 +1,54 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/mangomast/mangomast/internal/rig"
+)
+
+// Settings of the throttle in the retries case.
+const (
+	throttleRatio   = 0.1
+	throttleReserve = 5
+)
+
+var throttleSettings = mustJSON(struct {
+	Ratio   float64 `json:"ratio"`
+	Reserve float64 `json:"reserve"`
+}{throttleRatio, throttleReserve})
+
+func mustJSON(value any) string {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+// runThrottled measures the share of retries at each level while every hop
+// fails, summed over all requests and nodes.
+func runThrottled(ctx context.Context, fleet *rig.Rig, key Key, figures *retryFigures, report *Report) error {
+	mode := retryModes(figures.Budget)[0]
+	mode.name, mode.requests = "answered 500, throttled", 1000
+	row, err := runRetryMode(ctx, fleet, key, mode, figures.Budget)
+	if err != nil {
+		return err
+	}
+	report.Rows = append(report.Rows, row.cells())
+	first := float64(mode.requests)
+	for level, runs := range row.Runs {
+		// Each try below the root belongs to a run of the level above.
+		share := float64(runs)/first - 1
+		bound := throttleRatio + throttleReserve*vmsPerService/first
+		figures.Throttled = append(figures.Throttled, share)
+		figures.ThrottledBound = append(figures.ThrottledBound, bound)
+		report.Holds = report.Holds && share <= bound
+		report.Rows = append(report.Rows, []string{
+			fmt.Sprintf("share of retries at level %d", level+1), "", "", fmt.Sprintf("%.3f", bound), fmt.Sprintf("%.3f", share), "",
+		})
+		first = float64(runs)
+	}
+	return nil
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -36,6 +36,10 @@
 	Jitter float64 `json:"jitter"`
 	// FailPercent of the requests are answered with status 500.
 	FailPercent int `json:"fail_percent"`
+	// FailLate makes them fail after their calls to Next, not before.
+	FailLate bool `json:"fail_late"`
+	// Abort makes failures break the connection instead of answering.
+	Abort bool `json:"abort"`
 	// Next are the targets that the upstream calls, in order, for each request.
 	Next []string `json:"next"`
 	// ChildRetries is the number of times a failed call is sent again by the
@@ -137,16 +141,21 @@
 		u.crash()
 	}
 	u.work(r, behaviour)
-	if rand.IntN(100) < behaviour.FailPercent {
-		u.fail(w, http.StatusInternalServerError, "the upstream failed on purpose")
+	fails := rand.IntN(100) < behaviour.FailPercent
+	if fails && !behaviour.FailLate {
+		u.fail(w, behaviour, http.StatusInternalServerError, "the upstream failed on purpose")
 		return
 	}
 	for _, next := range behaviour.Next {
 		if err := u.call(r, next, behaviour.ChildRetries); err != nil {
-			u.fail(w, http.StatusBadGateway, err.Error())
+			u.fail(w, behaviour, http.StatusBadGateway, err.Error())
 			return
 		}
 	}
+	if fails {
+		u.fail(w, behaviour, http.StatusInternalServerError, "the upstream failed on purpose")
+		return
+	}
 	u.answer(w, r)
 }
 
@@ -201,10 +210,13 @@
 	}
 }
 
-func (u *Upstream) fail(w http.ResponseWriter, status int, message string) {
+func (u *Upstream) fail(w http.ResponseWriter, b Behaviour, status int, message string) {
 	u.mu.Lock()
 	u.report.Failed++
 	u.mu.Unlock()
+	if b.Abort {
+		panic(http.ErrAbortHandler)
+	}
 	http.Error(w, message, status)
 }
 
--- a/plugin/egress/egress.go
+++ b/plugin/egress/egress.go
@@ -17,6 +17,7 @@
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	"github.com/mangomast/mangomast/plugin/dispatch"
 	"github.com/mangomast/mangomast/plugin/inbound"
+	retryplugin "github.com/mangomast/mangomast/plugin/retry"
 )
 
 // ID is the module's ID.
@@ -25,7 +26,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{configplugin.ID, dispatch.ID, inbound.ID},
+		Needs: []kernel.ID{configplugin.ID, dispatch.ID, inbound.ID, retryplugin.ID},
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -36,6 +37,7 @@
 	config     config.Source
 	dispatcher dispatch.Dispatcher
 	running    *call.Registry
+	retries    *retryplugin.Module
 	server     *httpserver.Server
 }
 
@@ -57,6 +59,9 @@
 	if m.running, err = kernel.Require[*call.Registry](ctx); err != nil {
 		return err
 	}
+	if m.retries, err = kernel.Require[*retryplugin.Module](ctx); err != nil {
+		return err
+	}
 	local, err := kernel.Require[*inbound.Module](ctx)
 	if err != nil {
 		return err
@@ -92,12 +97,7 @@
 	if refusal != nil {
 		return httpcall.WriteReply(c, head.ID, refusal, nil, 0)
 	}
-	ctx, cancel := bothContexts(c.Request().Context(), parent.Context)
-	defer cancel()
-	head.RetryBudget = parent.TakeRetries(route.RetryBudget)
-	reply, answer := m.dispatcher.Dispatch(ctx, head, body)
-	parent.ReturnRetries(head.RetryBudget - reply.RetriesUsed)
-	return httpcall.WriteReply(c, head.ID, reply, answer, route.MaxAnswerBytes)
+	return m.send(c, parent, head, route, body)
 }
 
 // head builds the head of a call made on behalf of the parent request.
--- /dev/null
+++ b/plugin/egress/resend.go
@@ -0,0 +1,85 @@
+package egress
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/zeebo/xxh3"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/httpcall"
+	retryplugin "github.com/mangomast/mangomast/plugin/retry"
+	"github.com/mangomast/mangomast/retry"
+)
+
+// send dispatches one call of the parent request and writes its answer. A
+// call that repeats a failed one is a retry of the parent request.
+func (m *Module) send(c echo.Context, parent *call.Running, head *call.Head, route *config.Route, body []byte) error {
+	ctx, cancel := bothContexts(c.Request().Context(), parent.Context)
+	defer cancel()
+	if m.retries.Unbounded {
+		head.RetryBudget = route.RetryBudget
+		reply, answer := m.dispatcher.Dispatch(ctx, head, body)
+		return httpcall.WriteReply(c, head.ID, reply, answer, route.MaxAnswerBytes)
+	}
+	signature := signatureOf(head, body)
+	verdict, err := begin(ctx, &parent.Sends, signature)
+	if err != nil {
+		return httpcall.WriteReply(c, head.ID, call.Refuse(call.CodeCancelled, "the call was cancelled before it was sent"), nil, 0)
+	}
+	delivered := false
+	defer func() { parent.Sends.End(signature, delivered) }()
+	if verdict == retry.Resend {
+		head.Attempt = 1
+		if !m.retries.Allow(retryplugin.Upstream, head.Service, parent.Retries()) {
+			return httpcall.WriteReply(c, head.ID, m.retries.Refuse(), nil, 0)
+		}
+	}
+	reply, answer := m.dispatch(ctx, parent, head, body)
+	err = httpcall.WriteReply(c, head.ID, reply, answer, route.MaxAnswerBytes)
+	delivered = err == nil && c.Request().Context().Err() == nil && succeeded(reply)
+	return err
+}
+
+// dispatch lends the call a share of the parent's retries.
+func (m *Module) dispatch(ctx context.Context, parent *call.Running, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
+	budget := parent.Retries()
+	head.RetryBudget = budget.LendHalf()
+	reply, answer := m.dispatcher.Dispatch(ctx, head, body)
+	budget.Settle(head.RetryBudget, reply.RetriesUsed)
+	return reply, answer
+}
+
+// begin waits until no call with the signature is in progress.
+func begin(ctx context.Context, sends *retry.Sends, signature retry.Signature) (retry.Verdict, error) {
+	for {
+		verdict, done := sends.Begin(signature)
+		if verdict != retry.Busy {
+			return verdict, nil
+		}
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return verdict, ctx.Err()
+		}
+	}
+}
+
+func signatureOf(head *call.Head, body []byte) retry.Signature {
+	return retry.Signature(xxh3.HashString(head.Method+" "+head.Target) ^ xxh3.HashSeed(body, 1))
+}
+
+// succeeded reports whether an upstream has no reason to send the call again.
+func succeeded(reply *call.Reply) bool {
+	if reply.Outcome != call.Answered {
+		return false
+	}
+	switch reply.Status {
+	case http.StatusRequestTimeout, http.StatusTooEarly, http.StatusTooManyRequests:
+		return false
+	}
+	return reply.Status < http.StatusInternalServerError
+}
--- a/plugin/inbound/serve.go
+++ b/plugin/inbound/serve.go
@@ -41,7 +41,7 @@
 	}
 	reply, answer := m.forward(ctx, s, head, body, token)
 	reply.Load = s.gate.Load()
-	reply.RetriesUsed = running.RetriesUsed()
+	reply.RetriesUsed, reply.Children = running.Retries().Seal(), running.Children()
 	if answer == nil {
 		finish()
 		return reply, nil
@@ -73,6 +73,7 @@
 	req.Header.Set(call.HeaderRequestID, head.ID)
 	req.Header.Set(call.HeaderOrganisation, head.Organisation)
 	req.Header.Set(call.HeaderImportance, strconv.Itoa(int(head.Importance)))
+	sendOnce(req)
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return m.failure(ctx, head, err), nil
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"github.com/mangomast/mangomast/kernel"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	"github.com/mangomast/mangomast/plugin/dispatch"
+	retryplugin "github.com/mangomast/mangomast/plugin/retry"
 )
 
 // ID is the module's ID.
@@ -29,7 +30,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{configplugin.ID, dispatch.ID},
+		Needs: []kernel.ID{configplugin.ID, dispatch.ID, retryplugin.ID},
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -40,6 +41,7 @@
 	log        log.Interface
 	config     config.Source
 	dispatcher dispatch.Dispatcher
+	retries    *retryplugin.Module
 	metrics    *metrics
 	server     *httpserver.Server
 }
@@ -60,6 +62,9 @@
 	if m.dispatcher, err = kernel.Require[dispatch.Dispatcher](ctx); err != nil {
 		return err
 	}
+	if m.retries, err = kernel.Require[*retryplugin.Module](ctx); err != nil {
+		return err
+	}
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
 	e := echo.New()
@@ -116,7 +121,7 @@
 		return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
 	}
 	fillHead(r, req)
-	reply, answer := m.dispatcher.Dispatch(r.Context(), req.head, body)
+	reply, answer := m.dispatchCounted(r, req, body)
 	return reply, httpcall.WriteReply(c, req.head.ID, reply, answer, req.route.MaxAnswerBytes)
 }
 
--- /dev/null
+++ b/plugin/retry/retry.go
@@ -0,0 +1,169 @@
+// Package retry holds the node's retry policy: its settings, the throttle of
+// each service and the callers' requests. The ingress, the egress and the
+// dispatcher share it.
+package retry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/jsonc"
+	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/retry"
+)
+
+// ID is the module's ID.
+const ID kernel.ID = "retry"
+
+const (
+	defaultRatio    = 0.1
+	defaultReserve  = 20
+	defaultWindow   = 2 * time.Minute
+	defaultRequests = 65536
+	defaultMinDelay = 500 * time.Millisecond
+	defaultMaxDelay = 3 * time.Second
+	maxRequests     = 1 << 20
+	maxDelay        = time.Minute
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID: ID,
+		New: func() kernel.Module {
+			return &Module{
+				Ratio: defaultRatio, Reserve: defaultReserve,
+				Window: jsonc.Duration(defaultWindow), Requests: defaultRequests,
+				MinDelay: jsonc.Duration(defaultMinDelay), MaxDelay: jsonc.Duration(defaultMaxDelay),
+			}
+		},
+	})
+}
+
+// Module is the retry policy of one node. It is safe for concurrent use.
+type Module struct {
+	// Unbounded gives each hop the whole budget of its route and counts no
+	// repeated calls. It exists to measure what the bounds are worth.
+	Unbounded bool `json:"unbounded"`
+	// Ratio is the number of retries to a service for each first try; Reserve
+	// is the number that may be used at once above that.
+	Ratio   float64 `json:"ratio"`
+	Reserve float64 `json:"reserve"`
+	// Window is how long a caller's request is remembered after its last
+	// send; Requests bounds how many are.
+	Window   jsonc.Duration `json:"window"`
+	Requests int            `json:"requests"`
+	// MinDelay and MaxDelay bound the Retry-After of refusals.
+	MinDelay jsonc.Duration `json:"min_delay"`
+	MaxDelay jsonc.Duration `json:"max_delay"`
+
+	clock    clockwork.Clock
+	advice   retry.Advice
+	requests *retry.Requests
+	retries  *prometheus.CounterVec
+
+	mu        sync.Mutex
+	throttles map[string]*retry.Throttle
+}
+
+var (
+	_ kernel.Module    = (*Module)(nil)
+	_ kernel.Validator = (*Module)(nil)
+)
+
+// Validate implements kernel.Validator.
+func (m *Module) Validate(prefix string, findings *finding.List) {
+	if !(m.Ratio >= 0) || m.Ratio > 1 {
+		findings.Addf(prefix+"/ratio", "must be 0 to 1")
+	}
+	if !(m.Reserve >= 0) || m.Reserve > maxRequests {
+		findings.Addf(prefix+"/reserve", "must be 0 to %d retries", maxRequests)
+	}
+	if m.Window.Std() <= 0 {
+		findings.Addf(prefix+"/window", "must be above 0")
+	}
+	if m.Requests < 1 || m.Requests > maxRequests {
+		findings.Addf(prefix+"/requests", "must be 1 to %d", maxRequests)
+	}
+	if m.MinDelay.Std() <= 0 || m.MaxDelay.Std() < m.MinDelay.Std() || m.MaxDelay.Std() > maxDelay {
+		findings.Addf(prefix+"/max_delay", "must be at least min_delay, which must be above 0, and at most %s", maxDelay)
+	}
+}
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	m.clock = ctx.Clock
+	m.advice = retry.Advice{Min: m.MinDelay.Std(), Max: m.MaxDelay.Std()}
+	m.requests = retry.NewRequests(m.Requests, m.Window.Std())
+	m.throttles = map[string]*retry.Throttle{}
+	m.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "mangomast_retries_total",
+		Help: "Retries wanted, by who wanted them (node, upstream, caller) and whether they were allowed.",
+	}, []string{"origin", "result"})
+	ctx.Registry.MustRegister(m.retries)
+	kernel.Provide(ctx, m)
+	return nil
+}
+
+// Origin says who wants a retry.
+type Origin string
+
+// Origins of retries.
+const (
+	Node     Origin = "node"
+	Upstream Origin = "upstream"
+	Caller   Origin = "caller"
+)
+
+// First records the first try of a call to the service.
+func (m *Module) First(service string) { m.throttle(service).First() }
+
+// Allow asks for a retry to the service. It takes a token of the service's
+// throttle and a unit of the budget, or neither.
+func (m *Module) Allow(origin Origin, service string, budget *retry.Budget) bool {
+	result := "allowed"
+	switch {
+	case !budget.Spend():
+		result = "budget"
+	case !m.Unbounded && !m.throttle(service).Retry():
+		budget.Refund()
+		result = "throttled"
+	}
+	m.retries.WithLabelValues(string(origin), result).Inc()
+	return result == "allowed"
+}
+
+// Open returns the budget of a caller's request and whether an earlier send
+// of it may have run.
+func (m *Module) Open(claim retry.Claim, retries int) (budget *retry.Budget, again bool) {
+	return m.requests.Open(claim, retries, m.clock.Now())
+}
+
+// Delay returns the advice for a refused caller.
+func (m *Module) Delay() time.Duration {
+	return m.advice.Delay(rand.Float64())
+}
+
+// Refuse returns the reply to a retry that was not allowed. Its outcome is
+// unknown, because an earlier send of the request may have run.
+func (m *Module) Refuse() *call.Reply {
+	reply := call.Unsure(call.CodeRetryBudget, "the retries of the request or of its service are used up")
+	reply.RetryAfter = m.Delay()
+	return reply
+}
+
+func (m *Module) throttle(service string) *retry.Throttle {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t, ok := m.throttles[service]
+	if !ok {
+		t = retry.NewThrottle(m.Ratio, m.Reserve)
+		m.throttles[service] = t
+	}
+	return t
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,179 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// runTree plays one call of a random call tree: it spends and lends at random,
+// and some of its calls lose their answers. It returns the retries that were
+// really used at and below the call.
+func runTree(t *rapid.T, budget *Budget, depth int) int {
+	used := 0
+	type loan struct{ lent, reported int }
+	var out []loan
+	for range rapid.IntRange(0, 4).Draw(t, "steps") {
+		switch rapid.IntRange(0, 3).Draw(t, "step") {
+		case 0:
+			if budget.Spend() {
+				used++
+			}
+		case 1:
+			if budget.Spend() {
+				budget.Refund()
+			}
+		default:
+			if depth == 0 {
+				continue
+			}
+			lent := lendSome(t, budget)
+			child := NewBudget(lent)
+			used += runTree(t, child, depth-1)
+			reported := child.Seal()
+			if rapid.Bool().Draw(t, "answer lost") {
+				reported = lent
+			}
+			out = append(out, loan{lent, reported})
+		}
+		if len(out) > 0 && rapid.Bool().Draw(t, "settle") {
+			budget.Settle(out[0].lent, out[0].reported)
+			out = out[1:]
+		}
+	}
+	return used
+}
+
+func lendSome(t *rapid.T, budget *Budget) int {
+	switch rapid.IntRange(0, 2).Draw(t, "rule") {
+	case 0:
+		return budget.LendHalf()
+	case 1:
+		return budget.LendKeeping(1)
+	}
+	return budget.Lend(rapid.IntRange(-1, 10).Draw(t, "want"))
+}
+
+func TestBudgetIsConservedOverTreesWithLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(0, 10).Draw(t, "total")
+		root := NewBudget(total)
+		used := runTree(t, root, 4)
+		reported := root.Seal()
+		assert.Assert(t, used <= reported, "used %d, reported %d", used, reported)
+		assert.Assert(t, reported <= total, "reported %d of %d", reported, total)
+		assert.Assert(t, !root.Spend() && root.LendHalf() == 0, "a sealed budget gave more")
+	})
+}
+
+func TestSettleHoldsReportsToTheLoan(t *testing.T) {
+	b := NewBudget(5)
+	loan := b.Lend(2)
+	b.Settle(loan, -7)
+	assert.Equal(t, b.Left(), 5)
+	b.Settle(b.Lend(2), 99)
+	assert.Equal(t, b.Left(), 3)
+}
+
+// TestSendsCountEveryRepetition sends calls with equal signatures in random
+// interleavings: at most one may ever be a first one without a success before.
+func TestSendsCountEveryRepetition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Sends
+		firsts, resends, successes, failures := 0, 0, 0, 0
+		running := false
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if running && rapid.Bool().Draw(t, "end") {
+				ok := rapid.Bool().Draw(t, "ok")
+				s.End(1, ok)
+				running = false
+				if ok {
+					successes++
+				} else {
+					failures++
+				}
+				continue
+			}
+			verdict, done := s.Begin(1)
+			assert.Equal(t, verdict == Busy, running)
+			switch verdict {
+			case First:
+				firsts++
+			case Resend:
+				resends++
+			case Busy:
+				assert.Assert(t, done != nil)
+			}
+			running = true
+		}
+		assert.Assert(t, firsts <= successes+1, "%d first calls after %d successes", firsts, successes)
+		assert.Assert(t, resends <= failures)
+	})
+}
+
+func TestThrottleHoldsItsShareOverEverySpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0, 1).Draw(t, "ratio")
+		reserve := float64(rapid.IntRange(0, 5).Draw(t, "reserve"))
+		throttle := NewThrottle(ratio, reserve)
+		var firsts, retries []int
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			f, r := 0, 0
+			if rapid.Bool().Draw(t, "first") {
+				throttle.First()
+				f = 1
+			} else if throttle.Retry() {
+				r = 1
+			}
+			firsts, retries = append(firsts, f), append(retries, r)
+		}
+		for from := range firsts {
+			f, r := 0, 0
+			for i := from; i < len(firsts); i++ {
+				f, r = f+firsts[i], r+retries[i]
+				assert.Assert(t, float64(r) <= reserve+ratio*float64(f)+1e-9, "span %d..%d", from, i)
+			}
+		}
+	})
+}
+
+func TestRequestsShareTheBudgetAndStayBounded(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := NewRequests(2, time.Minute)
+	claim := Claim{Organisation: "beach", Route: "quote", ID: "1"}
+	sends := 0
+	for range 10 {
+		budget, again := table.Open(claim, 3, now)
+		assert.Equal(t, again, sends > 0)
+		if budget.Spend() {
+			sends++
+		}
+	}
+	assert.Equal(t, sends, 4)
+	for i := range 5 {
+		table.Open(Claim{ID: fmt.Sprint(i)}, 3, now)
+	}
+	assert.Equal(t, table.Len(), 2)
+	now = now.Add(2 * time.Minute)
+	_, again := table.Open(claim, 3, now)
+	assert.Assert(t, !again)
+	assert.Equal(t, table.Len(), 1)
+}
+
+func TestRequestsDoNotChargeSendsThatRanNowhere(t *testing.T) {
+	table := NewRequests(2, time.Minute)
+	for range 10 {
+		budget, again := table.Open(Claim{ID: "1"}, 0, time.Unix(0, 0))
+		assert.Assert(t, !again && budget.Spend())
+		budget.Refund()
+	}
+}
+
+func TestAdviceIsSpread(t *testing.T) {
+	a := Advice{Min: time.Second, Max: 3 * time.Second}
+	assert.Equal(t, a.Delay(0), time.Second)
+	assert.Equal(t, a.Delay(0.5), 2*time.Second)
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -31,6 +31,8 @@
 type Picker interface {
 	// Pick returns one of the candidates; ok is false if none fits.
 	Pick(attempt Attempt, candidates []membership.Entry) (entry membership.Entry, ok bool)
+	// Begin records that a try is sent to a VM; Done must follow.
+	Begin(vm string, now time.Time)
 	// Done records the result of a try.
 	Done(result Result)
 }
@@ -59,6 +61,9 @@
 	return nearest[random(len(nearest))], true
 }
 
+// Begin implements Picker.
+func (p *Near) Begin(string, time.Time) {}
+
 // Done implements Picker.
 func (p *Near) Done(Result) {}
 
