Spread membership through relays in each failure domain

Cause: each node exchanged the whole table with three others every 500 ms, so control traffic grew with the square of the fleet, and a change of nothing but the heartbeat was a change for everybody. Excluded: a lease for relays (not exclusive, so none is needed), heartbeats in versions (an entry's version now changes only with the entry). Change: the top three VMs of a failure domain by rendezvous hash are its relays. Nodes report to them and take changes of the services they call from one; a relay takes each other domain's changes from one of its relays. A VM unheard for half the expiry is asked, and others are asked about it, before it is removed; a failure domain unheard as a whole is hidden, not removed.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -3,11 +3,7 @@
 // higher one, so entries may arrive by any way and in any order.
 package membership
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "context"
 
 // State is what is known of a VM's willingness to take work.
 type State uint8
@@ -32,7 +28,7 @@
 type Entry struct {
 	VM string `cbor:"1,keyasint" json:"vm"`
 	// Incarnation grows with each start of the VM's node; Version with each
-	// change and heartbeat within an incarnation.
+	// change within an incarnation.
 	Incarnation   uint64 `cbor:"2,keyasint" json:"incarnation"`
 	Version       uint64 `cbor:"3,keyasint" json:"version"`
 	FailureDomain string `cbor:"4,keyasint" json:"failure_domain"`
@@ -44,7 +40,9 @@
 	MeshAddress   string `cbor:"9,keyasint" json:"mesh_address"`
 	CallerAddress string `cbor:"10,keyasint" json:"caller_address"`
 	AdminAddress  string `cbor:"11,keyasint" json:"admin_address"`
-	// ConfigRevision is the configuration in force on the VM.
+	// ConfigRevision is the revision of the stream in force on the VM. It is
+	// current at the relays of the VM's own failure domain only: a change of
+	// it alone makes no new version.
 	ConfigRevision int64 `cbor:"12,keyasint,omitempty" json:"config_revision"`
 }
 
@@ -56,76 +54,12 @@
 	return e.Version > other.Version
 }
 
-type member struct {
-	entry Entry
-	heard time.Time
-}
-
-// Table holds the newest entry of each VM. It is not safe for concurrent use.
-type Table struct {
-	members map[string]*member
-	expiry  time.Duration
-}
-
-// NewTable returns an empty table. A VM that is unheard for longer than
-// expiry is taken for gone.
-func NewTable(expiry time.Duration) *Table {
-	return &Table{members: map[string]*member{}, expiry: expiry}
-}
-
-// Merge takes in entries heard at the time now and reports whether any entry
-// was new.
-func (t *Table) Merge(entries []Entry, now time.Time) bool {
-	changed := false
-	for _, entry := range entries {
-		known, ok := t.members[entry.VM]
-		if ok && !entry.Newer(known.entry) {
-			continue
-		}
-		t.members[entry.VM] = &member{entry: entry, heard: now}
-		changed = true
-	}
-	return changed
-}
-
-// Expire removes the VMs that were unheard for longer than the expiry, and
-// those that have gone, and returns their names.
-func (t *Table) Expire(now time.Time) []string {
-	var removed []string
-	for vm, m := range t.members {
-		if now.Sub(m.heard) > t.expiry {
-			delete(t.members, vm)
-			removed = append(removed, vm)
-		}
-	}
-	slices.Sort(removed)
-	return removed
-}
-
-// Entries returns all entries, ordered by VM.
-func (t *Table) Entries() []Entry {
-	entries := make([]Entry, 0, len(t.members))
-	for _, m := range t.members {
-		entries = append(entries, m.entry)
-	}
-	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.VM, b.VM) })
-	return entries
-}
-
-// Get returns the entry of a VM.
-func (t *Table) Get(vm string) (Entry, bool) {
-	m, ok := t.members[vm]
-	if !ok {
-		return Entry{}, false
-	}
-	return m.entry, true
-}
-
 // View is an immutable copy of a table, for readers on other goroutines.
 type View struct {
 	entries  []Entry
 	byVM     map[string]Entry
 	services map[string][]Entry
+	lookup   func(service string) []Entry
 }
 
 // NewView returns a view of the entries.
@@ -140,7 +74,16 @@
 	return v
 }
 
-// All returns every entry, ordered by VM.
+// WithLookup returns the view with a function that finds the VMs of services
+// of which the view has none. The function may block for a short time.
+func (v *View) WithLookup(lookup func(service string) []Entry) *View {
+	copied := *v
+	copied.lookup = lookup
+	return &copied
+}
+
+// All returns every entry that the node knows, ordered by VM. Only relays
+// know every VM of the fleet; see Directory.
 func (v *View) All() []Entry { return v.entries }
 
 // Get returns the entry of a VM.
@@ -149,8 +92,15 @@
 	return entry, ok
 }
 
-// Service returns the entries of the VMs that take work for the service.
-func (v *View) Service(service string) []Entry { return v.services[service] }
+// Service returns the entries of the VMs that take work for the service. The
+// first call for a service may block until the node has subscribed to it.
+func (v *View) Service(service string) []Entry {
+	entries, ok := v.services[service]
+	if !ok && v.lookup != nil {
+		return v.lookup(service)
+	}
+	return entries
+}
 
 // Source gives the members known to this node.
 type Source interface {
@@ -164,3 +114,10 @@
 type Announcer interface {
 	Announce(change func(*Entry))
 }
+
+// Directory lists the whole fleet.
+type Directory interface {
+	// Members asks the relays for every VM, with the configuration in force
+	// on it, ordered by VM. It blocks until they have answered or ctx ends.
+	Members(ctx context.Context) ([]Entry, error)
+}
--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(vm string, incarnation, version uint64) Entry {
+	return Entry{VM: vm, Incarnation: incarnation, Version: version, FailureDomain: "a", State: Ready, Service: "s"}
+}
+
+func everything(Record) bool { return true }
+
+func TestPausedVMComesBack(t *testing.T) {
+	table := NewTable()
+	table.Hear(entry("x", 5, 1), start)
+	table.Hear(entry("y", 5, 1), start.Add(9*time.Second))
+	unheard := table.Unheard("a", start.Add(5*time.Second))
+	assert.Equal(t, len(unheard), 1)
+	table.Remove("x", start.Add(9*time.Second))
+	assert.Equal(t, len(table.Entries()), 1)
+	assert.Equal(t, len(table.Missing("a", start.Add(8*time.Second))), 1)
+	before := table.Sequence()
+	table.Hear(entry("x", 5, 1), start.Add(time.Minute))
+	assert.Equal(t, len(table.Entries()), 2)
+	changes := table.Changes(before, everything)
+	assert.Equal(t, len(changes), 1)
+	assert.Assert(t, !changes[0].Removed)
+}
+
+func TestOldIncarnationIsIgnored(t *testing.T) {
+	table := NewTable()
+	table.Hear(entry("x", 6, 1), start)
+	table.Hear(entry("x", 5, 99), start)
+	table.Learn(Record{Entry: entry("x", 5, 100), Removed: true}, true, start)
+	assert.Equal(t, table.Entries()[0].Incarnation, uint64(6))
+}
+
+func TestOnlyAnAuthorityRemoves(t *testing.T) {
+	table := NewTable()
+	table.Hear(entry("x", 5, 1), start)
+	gone := Record{Entry: entry("x", 5, 1), Removed: true}
+	table.Learn(gone, false, start)
+	assert.Equal(t, len(table.Entries()), 1)
+	table.Learn(gone, true, start)
+	assert.Equal(t, len(table.Entries()), 0)
+}
+
+func TestHiddenDomainReturnsWhole(t *testing.T) {
+	table := NewTable()
+	table.Hear(entry("x", 5, 1), start)
+	table.Hear(entry("y", 5, 1), start)
+	table.Remove("y", start)
+	table.HideDomain("a")
+	assert.Equal(t, len(table.Entries()), 0)
+	assert.Equal(t, len(table.Known("a")), 1)
+	table.VouchDomain("a", start.Add(time.Minute))
+	assert.Equal(t, len(table.Entries()), 1)
+}
+
+// Entries may arrive in any order and any number of times.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Record {
+			vm := fmt.Sprint("vm", rapid.IntRange(0, 3).Draw(t, "vm"))
+			return Record{Entry: entry(vm, rapid.Uint64Range(1, 3).Draw(t, "inc"), rapid.Uint64Range(1, 3).Draw(t, "ver"))}
+		}), 1, 30).Draw(t, "records")
+		shuffled := rapid.Permutation(records).Draw(t, "shuffled")
+		one, two := NewTable(), NewTable()
+		for i := range records {
+			one.Learn(records[i], false, start)
+			two.Learn(shuffled[i], false, start)
+			two.Learn(shuffled[i], false, start)
+		}
+		assert.DeepEqual(t, one.Entries(), two.Entries())
+	})
+}
+
+// A node that knows only some VMs chooses the same relays, as long as the
+// relays are among them.
+func TestRelaysOfASubset(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Entry
+		for i := range rapid.IntRange(1, 40).Draw(t, "count") {
+			all = append(all, entry(fmt.Sprint("vm-", i), 1, 1))
+		}
+		relays := Relays(all)
+		extra := rapid.SampledFrom(all).Draw(t, "extra")
+		subset := append([]Entry{}, relays...)
+		if Rank(relays, extra.VM) < 0 {
+			subset = append(subset, extra)
+		}
+		assert.DeepEqual(t, Relays(rapid.Permutation(subset).Draw(t, "order")), relays)
+	})
+}
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -44,6 +44,13 @@
 	KindOperator
 )
 
+// Kinds of requests about members and the revision stream.
+const (
+	KindProbe Kind = iota + 20
+	KindDirectory
+	KindProgress
+)
+
 const (
 	// InlineBytes is the largest body that is sent in one frame.
 	InlineBytes = 32 << 10
--- a/plugin/admin/admin.go
+++ b/plugin/admin/admin.go
@@ -32,6 +32,7 @@
 // Module is the operators' listener.
 type Module struct {
 	members membership.Source
+	fleet   membership.Directory
 	config  config.Source
 	server  *httpserver.Server
 }
@@ -48,6 +49,9 @@
 	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
 		return err
 	}
+	if m.fleet, err = kernel.Require[membership.Directory](ctx); err != nil {
+		return err
+	}
 	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
 		return err
 	}
@@ -68,7 +72,11 @@
 }
 
 func (m *Module) serveStatus(c echo.Context) error {
-	status := operator.Status{VM: m.members.Self().VM, Fresh: m.config.Fresh(), Members: m.members.View().All()}
+	members, err := m.fleet.Members(c.Request().Context())
+	if err != nil {
+		members = m.members.View().All()
+	}
+	status := operator.Status{VM: m.members.Self().VM, Fresh: m.config.Fresh(), Members: members}
 	if snapshot := m.config.Snapshot(); snapshot != nil {
 		status.Revision = snapshot.Revision
 	}
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -14,7 +14,6 @@
 
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/kernel"
-	"github.com/mangomast/mangomast/membership"
 	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
 	storeplugin "github.com/mangomast/mangomast/plugin/store"
 	"github.com/mangomast/mangomast/store"
@@ -41,11 +40,11 @@
 
 // Module reads and watches the document in the store.
 type Module struct {
-	store     store.Store
-	announcer membership.Announcer
-	prefix    string
-	clock     clockwork.Clock
-	log       log.Interface
+	store   store.Store
+	members *membershipplugin.Module
+	prefix  string
+	clock   clockwork.Clock
+	log     log.Interface
 	// owners is used by the watching goroutine alone.
 	owners  *config.OwnerTable
 	current atomic.Pointer[config.Snapshot]
@@ -63,7 +62,7 @@
 	if m.store, err = kernel.Require[store.Store](ctx); err != nil {
 		return err
 	}
-	if m.announcer, err = kernel.Require[membership.Announcer](ctx); err != nil {
+	if m.members, err = kernel.Require[*membershipplugin.Module](ctx); err != nil {
 		return err
 	}
 	m.prefix = ctx.Node.Store.Prefix + config.StreamPrefix
@@ -128,7 +127,7 @@
 func (m *Module) accept(records []store.Record) {
 	for _, record := range records {
 		if m.acceptRecord(record) {
-			m.announcer.Announce(func(e *membership.Entry) { e.ConfigRevision = record.ModRevision })
+			m.members.SetConfigRevision(m.Accepted())
 			m.log.WithField("revision", record.ModRevision).Info("configuration is in force")
 		}
 	}
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -1,10 +1,14 @@
-// Package membership spreads the nodes' entries and provides
-// membership.Source and membership.Announcer to the other modules.
+// Package membership spreads the nodes' entries through relays and provides
+// membership.Source, membership.Announcer and membership.Directory to the
+// other modules.
+//
+// Each node reports to the relays of its own failure domain and asks one of
+// them for what changed in the services that it calls. A relay also asks one
+// relay of each other failure domain, so it knows the whole fleet.
 package membership
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,8 +30,17 @@
 const (
 	defaultInterval = 500 * time.Millisecond
 	defaultExpiry   = 3 * time.Second
-	exchangeTimeout = 1 * time.Second
 	minInterval     = 50 * time.Millisecond
+	// exchangeTimeout bounds one message and its answer.
+	exchangeTimeout = 700 * time.Millisecond
+	// seedInterval is the time between two contacts with a seed, which join
+	// parts of the fleet that started without knowing each other.
+	seedInterval = 5 * time.Second
+	// forgetAfter is how long removed VMs are remembered, so that nodes with
+	// an old cursor hear of the removal.
+	forgetAfter = 10 * time.Minute
+	// subscribeTimeout bounds the wait of a service's first caller.
+	subscribeTimeout = 500 * time.Millisecond
 )
 
 func init() {
@@ -40,24 +53,54 @@
 	})
 }
 
-// Module exchanges entries with other nodes.
+// Module exchanges entries with relays, and is one if its node is chosen.
 type Module struct {
-	// Interval is the time between two exchanges.
+	// Interval is the time between two reports to the relays.
 	Interval jsonc.Duration `json:"interval"`
-	// Expiry is how long a VM may go unheard before it is taken for gone.
+	// Expiry is how long a VM may go unheard by all that could hear it before
+	// it is taken for gone.
 	Expiry jsonc.Duration `json:"expiry"`
 
 	mesh  *mesh.Mesh
 	clock clockwork.Clock
 	log   log.Interface
 	seeds []string
+	view  atomic.Pointer[membership.View]
+	// urgent starts the next round at once.
+	urgent chan struct{}
 
 	mu    sync.Mutex
 	self  membership.Entry
 	table *membership.Table
-	view  atomic.Pointer[membership.View]
-	// urgent wakes the exchange at once.
-	urgent chan struct{}
+	// published is the table's sequence number in the current view.
+	published uint64
+	cursors   map[string]cursor
+	domains   map[string]*domainState
+	services  map[string]*subscription
+	seedDue   time.Time
+	seedNext  int
+	// primary is the relay that is asked for changes.
+	primary int
+}
+
+// domainState is what a relay knows of another failure domain.
+type domainState struct {
+	heard time.Time
+	// next rotates through the domain's relays when one does not answer.
+	next int
+}
+
+// subscription is a service that this node calls.
+type subscription struct {
+	// answered is closed when the first answer has been taken in.
+	answered chan struct{}
+	done     bool
+}
+
+// cursor says up to where a relay's changes have been taken in.
+type cursor struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+	Sequence    uint64 `cbor:"2,keyasint"`
 }
 
 var (
@@ -66,6 +109,7 @@
 	_ kernel.ActorSource   = (*Module)(nil)
 	_ membership.Source    = (*Module)(nil)
 	_ membership.Announcer = (*Module)(nil)
+	_ membership.Directory = (*Module)(nil)
 )
 
 // Validate implements kernel.Validator.
@@ -86,8 +130,11 @@
 	}
 	m.mesh, m.clock, m.log = fabric, ctx.Clock, ctx.Log
 	m.seeds = ctx.Node.Seeds
-	m.table = membership.NewTable(m.Expiry.Std())
+	m.table = membership.NewTable()
 	m.urgent = make(chan struct{}, 1)
+	m.cursors = map[string]cursor{}
+	m.domains = map[string]*domainState{}
+	m.services = map[string]*subscription{}
 	m.self = membership.Entry{
 		VM: ctx.Node.VM, Incarnation: ctx.Incarnation, Version: 1,
 		FailureDomain: ctx.Node.FailureDomain, Region: ctx.Node.Region,
@@ -95,10 +142,17 @@
 		CallerAddress: ctx.Node.Advertise.Callers,
 		AdminAddress:  ctx.Node.Advertise.Admin,
 	}
+	m.mu.Lock()
+	m.table.Hear(m.self, m.clock.Now())
 	m.publish()
-	fabric.Handle(mesh.KindMembers, mesh.Typed(m.serveExchange))
+	m.mu.Unlock()
+	fabric.Handle(mesh.KindMembers, mesh.Typed(m.serveReport))
+	fabric.Handle(mesh.KindProbe, mesh.Typed(m.serveProbe))
+	fabric.Handle(mesh.KindDirectory, mesh.Typed(m.serveDirectory))
+	kernel.Provide(ctx, m)
 	kernel.Provide[membership.Source](ctx, m)
 	kernel.Provide[membership.Announcer](ctx, m)
+	kernel.Provide[membership.Directory](ctx, m)
 	return nil
 }
 
@@ -116,36 +170,86 @@
 func (m *Module) Announce(change func(*membership.Entry)) {
 	m.mu.Lock()
 	change(&m.self)
-	m.mu.Unlock()
+	m.self.Version++
+	m.table.Hear(m.self, m.clock.Now())
 	m.publish()
+	m.mu.Unlock()
+	m.wake()
+}
+
+// SetConfigRevision sets the configuration in force on this node. It is told
+// to the relays of the own failure domain and spread no further.
+func (m *Module) SetConfigRevision(revision int64) {
+	m.mu.Lock()
+	m.self.ConfigRevision = revision
+	m.table.Hear(m.self, m.clock.Now())
+	m.mu.Unlock()
+	m.wake()
+}
+
+func (m *Module) wake() {
 	select {
 	case m.urgent <- struct{}{}:
 	default:
 	}
 }
 
-// publish renews this node's entry and makes a new view.
+// publish makes a new view if the table changed. The caller holds m.mu.
 func (m *Module) publish() {
+	if current := m.view.Load(); current != nil && m.published == m.table.Sequence() {
+		return
+	}
+	m.published = m.table.Sequence()
+	view := membership.NewView(m.table.Entries())
+	if m.rank() < 0 {
+		view = view.WithLookup(m.lookup)
+	}
+	m.view.Store(view)
+}
+
+// rank returns this node's position among the relays of its failure domain,
+// or -1. The caller holds m.mu.
+func (m *Module) rank() int {
+	return membership.Rank(m.ownRelays(), m.self.VM)
+}
+
+// ownRelays returns the relays of the own failure domain, among the VMs that
+// this node knows. The caller holds m.mu.
+func (m *Module) ownRelays() []membership.Entry {
+	return membership.Relays(m.table.Domain(m.self.FailureDomain))
+}
+
+// lookup returns the VMs of a service. On the first call for the service it
+// subscribes to it and waits for the first answer.
+func (m *Module) lookup(service string) []membership.Entry {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.clock.Now()
-	m.self.Version++
-	m.table.Merge([]membership.Entry{m.self}, now)
-	m.table.Expire(now)
-	m.view.Store(membership.NewView(m.table.Entries()))
+	s, known := m.services[service]
+	if !known {
+		s = &subscription{answered: make(chan struct{})}
+		m.services[service] = s
+		m.cursors = map[string]cursor{}
+	}
+	m.mu.Unlock()
+	if !known {
+		m.wake()
+	}
+	select {
+	case <-s.answered:
+	case <-m.clock.After(subscribeTimeout):
+	}
+	return m.View().WithLookup(nil).Service(service)
 }
 
 // Actors implements kernel.ActorSource.
 func (m *Module) Actors() []kernel.Actor {
-	return []kernel.Actor{{Name: "exchange", Run: m.run}}
+	return []kernel.Actor{{Name: "report", Run: m.run}}
 }
 
 func (m *Module) run(ctx context.Context) error {
 	ticker := m.clock.NewTicker(m.Interval.Std())
 	defer ticker.Stop()
 	for {
-		m.publish()
-		m.exchangeAll(ctx)
+		m.round(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -155,66 +259,17 @@
 	}
 }
 
-// exchangeAll sends the table to a few other nodes and takes in theirs.
-func (m *Module) exchangeAll(ctx context.Context) {
-	const fanout = 3
-	targets := m.targets()
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	if len(targets) > fanout {
-		targets = targets[:fanout]
-	}
+// round reports to the relays, asks for changes and looks after VMs that
+// were unheard.
+func (m *Module) round(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, address := range targets {
-		group.Go(func() { m.exchange(ctx, address) })
+	for _, c := range m.contacts() {
+		group.Go(func() { m.contact(ctx, c) })
 	}
 	group.Wait()
-}
-
-func (m *Module) targets() []string {
-	own := m.Self().MeshAddress
-	seen := map[string]bool{own: true}
-	var targets []string
-	add := func(address string) {
-		if !seen[address] {
-			seen[address] = true
-			targets = append(targets, address)
-		}
-	}
-	for _, entry := range m.View().All() {
-		add(entry.MeshAddress)
-	}
-	for _, seed := range m.seeds {
-		add(seed)
-	}
-	return targets
-}
-
-type exchangeMessage struct {
-	Entries []membership.Entry `cbor:"1,keyasint"`
-}
-
-func (m *Module) exchange(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	var answer exchangeMessage
-	request := exchangeMessage{Entries: m.View().All()}
-	err := m.mesh.Exchange(ctx, mesh.Peer{Address: address}, mesh.KindMembers, request, &answer)
-	if err != nil {
-		m.log.WithError(err).WithField("address", address).Debug("membership exchange failed")
-		return
-	}
-	m.merge(answer.Entries)
-}
-
-func (m *Module) serveExchange(_ context.Context, _ mesh.Identity, request exchangeMessage) (exchangeMessage, error) {
-	m.merge(request.Entries)
-	return exchangeMessage{Entries: m.View().All()}, nil
-}
-
-func (m *Module) merge(entries []membership.Entry) {
+	m.suspect(ctx)
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.table.Merge(entries, m.clock.Now()) {
-		m.view.Store(membership.NewView(m.table.Entries()))
-	}
+	m.table.Forget(m.clock.Now().Add(-forgetAfter))
+	m.publish()
+	m.mu.Unlock()
 }
