List the fleet's VMs through the relays on the operators' screens

Cause: nodes now know only the services they call, and a VM's revision is told to its own domain's relays only, so the operators' progress stayed at 0 of 4 VMs; the command line's tests failed. Change: progress and overview ask membership.Directory. Measured: go test ./cmd/mangomast ./plugin/console failed before, pass now.

--- a/plugin/console/console.go
+++ b/plugin/console/console.go
@@ -18,9 +18,7 @@
 	"github.com/mangomast/mangomast/edit"
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/kernel"
-	"github.com/mangomast/mangomast/membership"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
-	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
 	operatorplugin "github.com/mangomast/mangomast/plugin/operator"
 	"github.com/mangomast/mangomast/store"
 )
@@ -34,7 +32,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{operatorplugin.ID, configplugin.ID, membershipplugin.ID},
+		Needs: []kernel.ID{operatorplugin.ID, configplugin.ID},
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -46,7 +44,6 @@
 type Module struct {
 	service  *operatorplugin.Service
 	config   config.Source
-	members  membership.Source
 	sessions *sessions
 	clock    clockwork.Clock
 }
@@ -75,9 +72,6 @@
 	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
 		return err
 	}
-	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
-		return err
-	}
 	templates, err := template.ParseFS(templateFiles, "templates/*.html")
 	if err != nil {
 		return errors.Wrap(err, "parse console templates")
--- a/plugin/console/pages.go
+++ b/plugin/console/pages.go
@@ -26,11 +26,15 @@
 }
 
 func (m *Module) showOverview(c echo.Context) error {
-	content := overview{Fresh: m.config.Fresh(), Members: m.members.View().All()}
+	content := overview{Fresh: m.config.Fresh()}
 	if snapshot := m.config.Snapshot(); snapshot != nil {
 		content.Revision = snapshot.Revision
 	}
-	content.Progress = m.service.Progress(content.Revision)
+	var err error
+	content.Members, content.Progress, err = m.service.Overview(c.Request().Context(), content.Revision)
+	if err != nil {
+		return m.refuse(c, err)
+	}
 	return m.render(c, http.StatusOK, "overview.html", "Overview", content)
 }
 
@@ -226,7 +230,10 @@
 	if err != nil {
 		return m.refuse(c, errors.New("the revision must be a number"))
 	}
-	progress := m.service.Progress(revision)
+	progress, err := m.service.Progress(c.Request().Context(), revision)
+	if err != nil {
+		return m.refuse(c, err)
+	}
 	title, refresh := "Coming into force", progressRefresh
 	if progress.Accepted {
 		title, refresh = "In force", 0
--- a/plugin/operator/operator.go
+++ b/plugin/operator/operator.go
@@ -75,7 +75,7 @@
 	if service.config, err = kernel.Require[config.Source](ctx); err != nil {
 		return err
 	}
-	if service.members, err = kernel.Require[membership.Source](ctx); err != nil {
+	if service.fleet, err = kernel.Require[membership.Directory](ctx); err != nil {
 		return err
 	}
 	backend, err := kernel.Require[store.Store](ctx)
@@ -91,10 +91,10 @@
 
 // Service is what the API and the console share. It is safe for concurrent use.
 type Service struct {
-	Editor  *edit.Editor
-	static  []config.Operator
-	config  config.Source
-	members membership.Source
+	Editor *edit.Editor
+	static []config.Operator
+	config config.Source
+	fleet  membership.Directory
 }
 
 // Authenticate returns the operator whose token has the hash.
@@ -108,10 +108,16 @@
 	return config.Operator{}, false
 }
 
-// Progress says how far a revision has come into force.
-func (s *Service) Progress(revision int64) operator.Progress {
+// Progress says how far a revision has come into force. It blocks until the
+// relays have listed the fleet or the context ends.
+func (s *Service) Progress(ctx context.Context, revision int64) (operator.Progress, error) {
+	_, progress, err := s.Overview(ctx, revision)
+	return progress, err
+}
+
+func (s *Service) progressOf(members []membership.Entry, revision int64) operator.Progress {
 	p := operator.Progress{Revision: revision, Accepted: s.config.Accepted() >= revision}
-	for _, entry := range s.members.View().All() {
+	for _, entry := range members {
 		if entry.State == membership.Gone {
 			continue
 		}
@@ -126,6 +132,16 @@
 	return p
 }
 
+// Overview returns every VM of the fleet, and how far a revision has come into
+// force on them.
+func (s *Service) Overview(ctx context.Context, revision int64) ([]membership.Entry, operator.Progress, error) {
+	members, err := s.fleet.Members(ctx)
+	if err != nil {
+		return nil, operator.Progress{}, errors.Wrap(err, "list the fleet's VMs")
+	}
+	return members, s.progressOf(members, revision), nil
+}
+
 // GrantKey makes a key and returns it with the change that added its hash.
 func (s *Service) GrantKey(ctx context.Context, author string, r operator.KeyRequest) (*operator.KeyAnswer, error) {
 	secret := config.NewKey()
@@ -308,7 +324,7 @@
 	if err != nil {
 		return m.answer(c, nil, errors.New("revision must be a number"))
 	}
-	progress := m.service.Progress(revision)
+	progress, err := m.service.Progress(c.Request().Context(), revision)
 	slices.Sort(progress.Waiting)
-	return m.answer(c, progress, nil)
+	return m.answer(c, progress, err)
 }
