Serve profiles on the admin listener if the settings say so

Cause: the largest cost of a call could not be looked up on a running node. Change: modules.admin.profiling; added-latency turns it on and prints where.

--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -48,6 +49,9 @@
 	// The ingress node serves another service, so that calls cross the mesh.
 	nodes := append(Spread("other", 1, 10, standin.Behaviour{}), Spread("fares", 1, 60, standin.Behaviour{WorkMicros: 2000})...)
 	AddDomains(doc, nodes)
+	for i := range nodes {
+		nodes[i].Modules = map[string]json.RawMessage{"admin": json.RawMessage(`{"profiling": true}`)}
+	}
 	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
 	if err != nil {
 		return nil, err
@@ -57,6 +61,7 @@
 	report := &Report{Holds: true, Figures: figures, Header: []string{
 		"rate/s", "straight p50", "p99", "through p50", "p99", "added p99", "failed", "ingress cores", "MB", "inbound cores", "MB",
 	}}
+	env.Logf("profiles: http://%s/debug/pprof/profile?seconds=3 and http://%s/debug/pprof/profile?seconds=3", fleet.Nodes[0].Admin, fleet.Nodes[1].Admin)
 	duration := env.Duration
 	if duration == 0 {
 		duration = 8 * time.Second
--- a/plugin/admin/admin.go
+++ b/plugin/admin/admin.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -31,6 +32,9 @@
 
 // Module is the operators' listener.
 type Module struct {
+	// Profiling serves /debug/pprof on the admin listener.
+	Profiling bool `json:"profiling"`
+
 	members membership.Source
 	fleet   membership.Directory
 	config  config.Source
@@ -58,6 +62,10 @@
 	e := echo.New()
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(ctx.Registry, promhttp.HandlerOpts{})))
 	e.GET(operator.PathStatus, m.serveStatus)
+	if m.Profiling {
+		e.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
+		e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	}
 	m.server = httpserver.New(ctx.Node.Listen.Admin, e)
 	kernel.Provide(ctx, e)
 	return nil
