Ask the relays for the whole list of VMs in the console and the API

Cause: nodes that are no relay know only the VMs they call, so progress and the overview missed the others, and a change seemed in force on 0 of 4 VMs. Change: both ask membership.Directory, which asks a relay; a relay asks one relay of each other domain, where the revision in force on each VM is known.

--- a/plugin/console/console.go
+++ b/plugin/console/console.go
@@ -46,7 +46,7 @@
 type Module struct {
 	service  *operatorplugin.Service
 	config   config.Source
-	members  membership.Source
+	members  membership.Directory
 	sessions *sessions
 	clock    clockwork.Clock
 }
@@ -75,7 +75,7 @@
 	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
 		return err
 	}
-	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
+	if m.members, err = kernel.Require[membership.Directory](ctx); err != nil {
 		return err
 	}
 	templates, err := template.ParseFS(templateFiles, "templates/*.html")
--- a/plugin/console/pages.go
+++ b/plugin/console/pages.go
@@ -26,11 +26,15 @@
 }
 
 func (m *Module) showOverview(c echo.Context) error {
-	content := overview{Fresh: m.config.Fresh(), Members: m.members.View().All()}
+	members, err := m.members.Members(c.Request().Context())
+	if err != nil {
+		return errors.Wrap(err, "list the VMs")
+	}
+	content := overview{Fresh: m.config.Fresh(), Members: members}
 	if snapshot := m.config.Snapshot(); snapshot != nil {
 		content.Revision = snapshot.Revision
 	}
-	content.Progress = m.service.Progress(content.Revision)
+	content.Progress = m.service.Progress(c.Request().Context(), content.Revision)
 	return m.render(c, http.StatusOK, "overview.html", "Overview", content)
 }
 
@@ -226,7 +230,7 @@
 	if err != nil {
 		return m.refuse(c, errors.New("the revision must be a number"))
 	}
-	progress := m.service.Progress(revision)
+	progress := m.service.Progress(c.Request().Context(), revision)
 	title, refresh := "Coming into force", progressRefresh
 	if progress.Accepted {
 		title, refresh = "In force", 0
--- a/plugin/operator/operator.go
+++ b/plugin/operator/operator.go
@@ -75,7 +75,7 @@
 	if service.config, err = kernel.Require[config.Source](ctx); err != nil {
 		return err
 	}
-	if service.members, err = kernel.Require[membership.Source](ctx); err != nil {
+	if service.fleet, err = kernel.Require[membership.Directory](ctx); err != nil {
 		return err
 	}
 	backend, err := kernel.Require[store.Store](ctx)
@@ -91,10 +91,10 @@
 
 // Service is what the API and the console share. It is safe for concurrent use.
 type Service struct {
-	Editor  *edit.Editor
-	static  []config.Operator
-	config  config.Source
-	members membership.Source
+	Editor *edit.Editor
+	static []config.Operator
+	config config.Source
+	fleet  membership.Directory
 }
 
 // Authenticate returns the operator whose token has the hash.
@@ -109,9 +109,11 @@
 }
 
 // Progress says how far a revision has come into force.
-func (s *Service) Progress(revision int64) operator.Progress {
+func (s *Service) Progress(ctx context.Context, revision int64) operator.Progress {
 	p := operator.Progress{Revision: revision, Accepted: s.config.Accepted() >= revision}
-	for _, entry := range s.members.View().All() {
+	members, err := s.fleet.Members(ctx)
+	p.Accepted = p.Accepted && err == nil
+	for _, entry := range members {
 		if entry.State == membership.Gone {
 			continue
 		}
@@ -308,7 +310,7 @@
 	if err != nil {
 		return m.answer(c, nil, errors.New("revision must be a number"))
 	}
-	progress := m.service.Progress(revision)
+	progress := m.service.Progress(c.Request().Context(), revision)
 	slices.Sort(progress.Waiting)
 	return m.answer(c, progress, nil)
 }
