--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,184 @@
+// Package admission decides which requests run on the local upstream, which
+// wait and which are refused. It has no goroutine, socket, clock or random
+// source of its own: times are handed in, and what to do with which request
+// is handed back.
+package admission
+
+import (
+	"time"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+// Request is one request on its way through a Controller.
+type Request struct {
+	// Importance is shed last if highest; Rank orders users within it.
+	Importance uint8
+	Rank       uint16
+	// Organisation shares the upstream with others of the same importance in
+	// proportion to Weight, which is above 0.
+	Organisation string
+	Weight       float64
+	// Deadline is when the answer is of no more use.
+	Deadline time.Time
+
+	arrived  time.Time
+	started  time.Time
+	sequence uint64
+}
+
+// Waited returns the time that the request spent in the queue, once it runs.
+func (r *Request) Waited() time.Duration { return r.started.Sub(r.arrived) }
+
+// Action tells what becomes of a request.
+type Action struct {
+	Request *Request
+	// Run is true if the request is to run now. Otherwise it is refused with
+	// the code and must not run.
+	Run  bool
+	Code call.Code
+}
+
+// Options are the inputs of NewController.
+type Options struct {
+	// Slots is the upper bound of the concurrency limit.
+	Slots int
+	// Queue is the largest number of requests that wait.
+	Queue int
+	// MaxWait is the longest time in the queue for short requests; requests
+	// that take longer may wait for as long as one usually runs.
+	MaxWait time.Duration
+	Limit   LimitOptions
+}
+
+// Controller admits requests to one upstream. It is not safe for concurrent
+// use.
+type Controller struct {
+	opts    Options
+	limit   *Limit
+	queue   queue
+	running int
+	// service is the time that requests run.
+	service estimate
+	// idle is when the queue was last found empty by an arrival.
+	idle     time.Time
+	sequence uint64
+}
+
+// NewController returns a controller for an upstream that has just started.
+func NewController(opts Options, now time.Time) *Controller {
+	return &Controller{opts: opts, limit: NewLimit(opts.Slots, opts.Limit, now), queue: newQueue(), idle: now}
+}
+
+// overloadAfter is how long the queue must have been in use before requests
+// are ordered by rank and the newest run first.
+const overloadAfter = 50 * time.Millisecond
+
+// Arrive takes in a request and returns what becomes of it and of others.
+// Without an action for it the request waits.
+func (c *Controller) Arrive(r *Request, now time.Time) []Action {
+	c.sequence++
+	r.sequence = c.sequence
+	r.arrived = now
+	if c.queue.len() == 0 {
+		c.idle = now
+	}
+	c.queue.push(r)
+	actions := c.fill(nil, now)
+	if c.queue.len() > c.opts.Queue {
+		actions = append(actions, Action{Request: c.queue.evict(), Code: call.CodeOverloaded})
+	}
+	return actions
+}
+
+// Cancel removes a request that waits. It reports false if the request does
+// not wait, because there was an action for it.
+func (c *Controller) Cancel(r *Request) bool { return c.queue.remove(r) }
+
+// Completion is the end of a request that ran.
+type Completion struct {
+	Request *Request
+	// Answered is false if the upstream gave no whole answer.
+	Answered bool
+	// Overloaded is true if the upstream said or showed that it has too much
+	// work.
+	Overloaded bool
+}
+
+// Finish takes in the end of a request that ran.
+func (c *Controller) Finish(done Completion, now time.Time) []Action {
+	c.running--
+	latency := now.Sub(done.Request.started)
+	if done.Answered {
+		c.service.add(latency)
+	}
+	c.limit.Finished(latency, done.Overloaded)
+	return c.fill(nil, now)
+}
+
+// Tick drops requests that waited too long and adjusts the limit. It is
+// called every few tens of milliseconds.
+func (c *Controller) Tick(now time.Time) []Action {
+	var actions []Action
+	for _, r := range c.queue.expired(now, now.Add(-c.maxWait())) {
+		actions = append(actions, Action{Request: r, Code: call.CodeOverloaded})
+	}
+	c.limit.Tick(now)
+	c.queue.forget()
+	return c.fill(actions, now)
+}
+
+func (c *Controller) maxWait() time.Duration { return max(c.opts.MaxWait, c.service.mean) }
+
+// fill starts requests while the limit allows it.
+func (c *Controller) fill(actions []Action, now time.Time) []Action {
+	overloaded := now.Sub(c.idle) > overloadAfter
+	for c.running < c.limit.Value() && c.queue.len() > 0 {
+		r := c.queue.pop(overloaded)
+		if now.Add(c.service.likely()).After(r.Deadline) {
+			actions = append(actions, Action{Request: r, Code: call.CodeDeadline})
+			continue
+		}
+		c.running++
+		r.started = now
+		c.queue.started(r)
+		actions = append(actions, Action{Request: r, Run: true})
+	}
+	c.limit.Running(c.running, c.queue.len() > 0)
+	return actions
+}
+
+// State is a controller's state for metrics and for routing.
+type State struct {
+	Running, Queued, Limit int
+	// Service is the mean time that requests run; 0 if none has run yet.
+	Service time.Duration
+}
+
+// State returns the state.
+func (c *Controller) State() State {
+	return State{Running: c.running, Queued: c.queue.len(), Limit: c.limit.Value(), Service: c.service.mean}
+}
+
+// estimate is an average with the mean deviation from it.
+type estimate struct {
+	mean, deviation time.Duration
+}
+
+const (
+	meanDivisor      = 8
+	deviationDivisor = 4
+)
+
+func (e *estimate) add(sample time.Duration) {
+	if e.mean == 0 {
+		e.mean, e.deviation = sample, sample/2
+		return
+	}
+	delta := sample - e.mean
+	e.mean += delta / meanDivisor
+	e.deviation += (delta.Abs() - e.deviation) / deviationDivisor
+}
+
+// likely returns a time within which most requests end.
+func (e *estimate) likely() time.Duration { return e.mean + e.deviation }
--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,232 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// world follows what a controller says of each request.
+type world struct {
+	t          *rapid.T
+	slots      int
+	controller *Controller
+	now        time.Time
+	waiting    map[*Request]bool
+	running    []*Request
+	refused    int
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: start, waiting: map[*Request]bool{}, slots: rapid.IntRange(1, 20).Draw(t, "slots")}
+	w.controller = NewController(Options{Slots: w.slots, Queue: 10, MaxWait: 100 * time.Millisecond}, w.now)
+	return w
+}
+
+// apply checks that each request gets one action, that the most important
+// runs, and that the least important is shed for want of room.
+func (w *world) apply(actions []Action) {
+	for _, a := range actions {
+		if !w.waiting[a.Request] {
+			w.t.Fatalf("action for a request that does not wait")
+		}
+		delete(w.waiting, a.Request)
+		if !a.Run {
+			w.refused++
+			continue
+		}
+		w.running = append(w.running, a.Request)
+		for r := range w.waiting {
+			if r.Importance > a.Request.Importance && !w.gets(actions, r) {
+				w.t.Fatalf("importance %d runs before %d", a.Request.Importance, r.Importance)
+			}
+		}
+	}
+}
+
+func (w *world) gets(actions []Action, r *Request) bool {
+	for _, a := range actions {
+		if a.Request == r {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) arrive() {
+	r := &Request{
+		Importance:   uint8(rapid.IntRange(1, 9).Draw(w.t, "importance")),
+		Rank:         rapid.Uint16().Draw(w.t, "rank"),
+		Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(w.t, "organisation"),
+		Weight:       rapid.Float64Range(0.1, 10).Draw(w.t, "weight"),
+		Deadline:     w.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(w.t, "deadline")) * time.Millisecond),
+	}
+	w.waiting[r] = true
+	actions := w.controller.Arrive(r, w.now)
+	for _, a := range actions {
+		if a.Code != call.CodeOverloaded {
+			continue
+		}
+		for other := range w.waiting {
+			if other.Importance < a.Request.Importance && !w.gets(actions, other) {
+				w.t.Fatalf("shed importance %d while %d waits", a.Request.Importance, other.Importance)
+			}
+		}
+	}
+	w.apply(actions)
+}
+
+func (w *world) finish() {
+	if len(w.running) == 0 {
+		return
+	}
+	r := w.running[0]
+	w.running = w.running[1:]
+	done := Completion{Request: r, Answered: rapid.Bool().Draw(w.t, "answered"), Overloaded: rapid.Bool().Draw(w.t, "overloaded")}
+	w.apply(w.controller.Finish(done, w.now))
+}
+
+func (w *world) cancel() {
+	for r := range w.waiting {
+		if !w.controller.Cancel(r) {
+			w.t.Fatalf("a waiting request could not be cancelled")
+		}
+		delete(w.waiting, r)
+		return
+	}
+}
+
+func (w *world) check(before State) {
+	state := w.controller.State()
+	if state.Limit < 1 || state.Limit > w.slots {
+		w.t.Fatalf("limit %d is outside 1 to %d", state.Limit, w.slots)
+	}
+	if state.Running != len(w.running) || state.Queued != len(w.waiting) || state.Queued > 10 {
+		w.t.Fatalf("state %+v, but %d run and %d wait", state, len(w.running), len(w.waiting))
+	}
+	if state.Running > max(state.Limit, before.Running) {
+		w.t.Fatalf("%d run above the limit %d", state.Running, state.Limit)
+	}
+}
+
+func TestControllerShedsLeastImportantAndKeepsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			before := w.controller.State()
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				w.arrive()
+			case 2, 3:
+				w.finish()
+			case 4:
+				w.cancel()
+			case 5:
+				w.now = w.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+				w.apply(w.controller.Tick(w.now))
+			}
+			w.check(before)
+		}
+	})
+}
+
+// TestNoOrganisationStarves keeps requests of several organisations waiting
+// and checks that each runs in proportion to its weight.
+func TestNoOrganisationStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const starts = 400
+		weights := rapid.SliceOfN(rapid.Float64Range(0.05, 5), 2, 6).Draw(t, "weights")
+		total := 0.0
+		c := NewController(Options{Slots: 1, Queue: 1000, MaxWait: time.Hour}, start)
+		push := func(i int) []Action {
+			return c.Arrive(&Request{
+				Importance: 5, Rank: rapid.Uint16().Draw(t, "rank"), Organisation: fmt.Sprint(i),
+				Weight: weights[i], Deadline: start.Add(time.Hour),
+			}, start)
+		}
+		var running *Request
+		for i, weight := range weights {
+			total += weight
+			for range 3 {
+				for _, a := range push(i) {
+					running = a.Request
+				}
+			}
+		}
+		counts := map[string]int{}
+		for range starts {
+			counts[running.Organisation]++
+			var i int
+			_, _ = fmt.Sscan(running.Organisation, &i)
+			push(i)
+			running = c.Finish(Completion{Request: running}, start)[0].Request
+		}
+		for i, weight := range weights {
+			least := starts*weight/total - float64(len(weights)) - 1
+			if got := counts[fmt.Sprint(i)]; float64(got) < least {
+				t.Fatalf("organisation %d of weight %g ran %d times, fair is %g", i, weight, got, least)
+			}
+		}
+	})
+}
+
+func TestDeadlineDropsBeforeRunning(t *testing.T) {
+	c := NewController(Options{Slots: 1, Queue: 10, MaxWait: time.Second}, start)
+	first := &Request{Weight: 1, Deadline: start.Add(time.Second)}
+	assert.Assert(t, c.Arrive(first, start)[0].Run)
+	hurried := &Request{Weight: 1, Deadline: start.Add(250 * time.Millisecond)}
+	assert.Equal(t, len(c.Arrive(hurried, start)), 0)
+	actions := c.Finish(Completion{Request: first, Answered: true}, start.Add(200*time.Millisecond))
+	assert.DeepEqual(t, actions[0].Code, call.CodeDeadline)
+	assert.Assert(t, !actions[0].Run)
+}
+
+// simulate runs a saturated upstream whose requests take the time that the
+// function gives for a number of running requests, and returns its throughput
+// over the last second.
+func simulate(l *Limit, now time.Time, length time.Duration, latency func(running int) time.Duration) (time.Time, float64) {
+	const step = time.Millisecond
+	progress, done, last := 0.0, 0, 0
+	for at := time.Duration(0); at < length; at += step {
+		now = now.Add(step)
+		took := latency(l.Value())
+		l.Running(l.Value(), true)
+		for progress += float64(l.Value()) * float64(step) / float64(took); progress >= 1; progress-- {
+			l.Finished(took, false)
+			done++
+			if length-at <= time.Second {
+				last++
+			}
+		}
+		l.Tick(now)
+	}
+	return now, float64(last)
+}
+
+func TestLimitFindsParallelismBelowSlots(t *testing.T) {
+	const cores, slots = 8, 100
+	work := 10 * time.Millisecond
+	l := NewLimit(slots, LimitOptions{}, start)
+	_, throughput := simulate(l, start, 20*time.Second, func(running int) time.Duration {
+		return work * time.Duration(max(cores, running)) / cores
+	})
+	assert.Assert(t, l.Value() <= 3*cores, "limit %d", l.Value())
+	assert.Assert(t, throughput >= 0.9*cores/work.Seconds(), "throughput %g", throughput)
+}
+
+func TestLimitKeepsSlotsOfSlowerUpstream(t *testing.T) {
+	const slots = 16
+	l := NewLimit(slots, LimitOptions{}, start)
+	now, _ := simulate(l, start, 5*time.Second, func(int) time.Duration { return 40 * time.Millisecond })
+	assert.Equal(t, l.Value(), slots)
+	_, throughput := simulate(l, now, 5*time.Second, func(int) time.Duration { return 120 * time.Millisecond })
+	assert.Equal(t, l.Value(), slots)
+	assert.Assert(t, throughput >= 0.9*slots/0.120, "throughput %g", throughput)
+}
--- a/call/call.go
+++ b/call/call.go
@@ -155,6 +155,9 @@
 	Method string  `cbor:"14,keyasint"`
 	Target string  `cbor:"15,keyasint"`
 	Header []Field `cbor:"16,keyasint"`
+	// Passed is the share of such requests that the ingress accepted; 0 if it
+	// accepted all.
+	Passed float64 `cbor:"20,keyasint,omitempty"`
 }
 
 // Reply is everything about an answer but its body.
@@ -175,6 +178,8 @@
 	RetriesUsed int `cbor:"8,keyasint,omitempty"`
 	// Load is the serving node's state at the time of the reply.
 	Load Load `cbor:"9,keyasint"`
+	// Levels says what the serving node and those called below it accept.
+	Levels []Level `cbor:"20,keyasint,omitempty"`
 	// Children is the number of calls that the upstream made for the request.
 	Children int `cbor:"30,keyasint,omitempty"`
 }
--- a/call/header.go
+++ b/call/header.go
@@ -19,6 +19,9 @@
 	// urgently they work.
 	HeaderOrganisation = "Mangomast-Organisation"
 	HeaderImportance   = "Mangomast-Importance"
+	// HeaderUser names the caller's user. Requests of the same user are shed or
+	// accepted alike under overload.
+	HeaderUser = "Mangomast-User"
 	// HeaderKey is one of the places where callers may put their key.
 	HeaderKey = "Mangomast-Key"
 	// HeaderPrefix starts all of them.
--- a/call/running.go
+++ b/call/running.go
@@ -23,6 +23,7 @@
 	// Sends tells the request's repeated calls from first ones.
 	Sends retry.Sends
 
+	below    levels
 	children atomic.Int64
 	once     sync.Once
 	retries  *retry.Budget
--- /dev/null
+++ b/internal/bench/overload.go
@@ -0,0 +1,358 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/load"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/jsonc"
+)
+
+func init() {
+	Register(Case{Name: "overload", Help: "the deepest of four services slows down while demand triples and callers retry", Run: runOverload})
+}
+
+// Load of the overload case. The deepest service can do
+// deepVMs*deepSlots/deepWork requests a second, 400, and a third of it, 133,
+// while it is slow.
+const (
+	normalRate     = 200
+	surgeRate      = 600
+	overloadWarm   = 3 * time.Second
+	overloadSurge  = 10 * time.Second
+	overloadAfter  = 6 * time.Second
+	callerTimeout  = 1 * time.Second
+	callerRetries  = 3
+	callerPause    = 50 * time.Millisecond
+	chainVMs       = 2
+	chainSlots     = 40
+	chainWork      = 5 * time.Millisecond
+	deepSlots      = 8
+	deepWork       = 40 * time.Millisecond
+	slowFactor     = 3
+	workJitter     = 0.1
+	hopTimeout     = 500 * time.Millisecond
+	hopRetries     = 3
+	topImportance  = 9
+	overloadOrgs   = 8
+	goodputBound   = 0.9
+	topBound       = 0.99
+	wasteBound     = 0.05
+	recoveredShare = 0.95
+	recoveryBound  = 3 * time.Second
+)
+
+// chain lists the services from the first to the deepest.
+var chain = []string{"dispatch", "fares", "riders", "ledger"}
+
+// callerClass is one kind of request, with its share of the demand.
+type callerClass struct {
+	name       string
+	importance uint8
+	share      float64
+}
+
+var callerClasses = []callerClass{
+	{name: "charge", importance: topImportance, share: 0.15},
+	{name: "quote", importance: 5, share: 0.45},
+	{name: "history", importance: 2, share: 0.40},
+}
+
+// overloadMode is one way to run the chain.
+type overloadMode struct {
+	name string
+	// straight calls go past the nodes.
+	straight bool
+	modules  map[string]json.RawMessage
+}
+
+// sheddingOff are module settings that leave slots and a queue in order of
+// arrival.
+func sheddingOff() map[string]json.RawMessage {
+	off := json.RawMessage(`{"shedding": false}`)
+	return map[string]json.RawMessage{"inbound": off, "ingress": off}
+}
+
+// overloadRow is what one mode measured.
+type overloadRow struct {
+	Mode          string  `json:"mode"`
+	NormalGoodput float64 `json:"normal_goodput"`
+	SurgeGoodput  float64 `json:"surge_goodput"`
+	// OfCapacity is the goodput in the surge as a share of what the slowed
+	// chain can do.
+	OfCapacity float64 `json:"of_capacity"`
+	TopOK      float64 `json:"top_ok"`
+	Wasted     float64 `json:"wasted"`
+	// RecoverySeconds is the time after the surge from which goodput stays
+	// above the bound.
+	RecoverySeconds float64 `json:"recovery_s"`
+	AttemptsPerCall float64 `json:"attempts_per_call"`
+	P99Millis       int64   `json:"p99_ms"`
+}
+
+type overloadFigures struct {
+	SlowedCapacity float64       `json:"slowed_capacity"`
+	Modes          []overloadRow `json:"modes"`
+}
+
+func runOverload(ctx context.Context, env *Env) (*Report, error) {
+	layer := overloadMode{name: "layer"}
+	baselines := []overloadMode{
+		{name: "shedding off", modules: sheddingOff()},
+		{name: "straight", straight: true},
+	}
+	rows := make([]overloadRow, 1+len(baselines))
+	var err error
+	if rows[0], err = measureOverload(ctx, env, layer); err != nil {
+		return nil, err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	for i, mode := range baselines {
+		group.Go(func() (err error) {
+			rows[i+1], err = measureOverload(groupCtx, env, mode)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return overloadReport(rows), nil
+}
+
+func slowedCapacity() float64 {
+	return chainVMs * deepSlots / (slowFactor * deepWork.Seconds())
+}
+
+func overloadReport(rows []overloadRow) *Report {
+	report := &Report{
+		Holds:   rows[0].holds(),
+		Figures: &overloadFigures{SlowedCapacity: slowedCapacity(), Modes: rows},
+		Header:  []string{"mode", "normal/s", "surge/s", "of slowed capacity", "top importance ok", "wasted work", "recovery s", "attempts/request", "p99 ms"},
+	}
+	for _, r := range rows {
+		report.Rows = append(report.Rows, []string{
+			r.Mode, fmt.Sprintf("%.0f", r.NormalGoodput), fmt.Sprintf("%.0f", r.SurgeGoodput),
+			fmt.Sprintf("%.3f", r.OfCapacity), fmt.Sprintf("%.4f", r.TopOK), fmt.Sprintf("%.3f", r.Wasted),
+			fmt.Sprintf("%.1f", r.RecoverySeconds), fmt.Sprintf("%.2f", r.AttemptsPerCall), fmt.Sprint(r.P99Millis),
+		})
+	}
+	return report
+}
+
+func (r overloadRow) holds() bool {
+	return r.OfCapacity >= goodputBound && r.TopOK >= topBound && r.Wasted <= wasteBound &&
+		r.RecoverySeconds <= recoveryBound.Seconds()
+}
+
+// overloadRun is one mode being measured.
+type overloadRun struct {
+	fleet   *rig.Rig
+	mode    overloadMode
+	seed    uint64
+	keys    []Key
+	client  *http.Client
+	started time.Time
+
+	mu       sync.Mutex
+	requests []overloadRequest
+}
+
+// overloadRequest is what became of one caller's request.
+type overloadRequest struct {
+	// due and done count from the start of the run.
+	due, done time.Duration
+	ok        bool
+	top       bool
+	attempts  []string
+}
+
+func measureOverload(ctx context.Context, env *Env, mode overloadMode) (overloadRow, error) {
+	doc, keys := overloadDocument()
+	nodes := overloadNodes(mode)
+	AddDomains(doc, nodes)
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return overloadRow{}, err
+	}
+	defer fleet.Close()
+	run := &overloadRun{fleet: fleet, mode: mode, seed: env.Seed, keys: keys, client: newCaller(callerTimeout)}
+	if err := run.setSpeed(ctx, 1); err != nil {
+		return overloadRow{}, err
+	}
+	if err := run.drive(ctx); err != nil {
+		return overloadRow{}, err
+	}
+	env.Logf("%s: goodput each second %v", mode.name, run.perSecond())
+	return run.row(ctx)
+}
+
+func overloadDocument() (*config.Document, []Key) {
+	doc := &config.Document{}
+	keys := NewOrganisations(doc, overloadOrgs, 10_000, 10_000)
+	deadline := func(r *config.Route) { r.Deadline = jsonc.Duration(callerTimeout) }
+	for _, service := range chain {
+		AddService(doc, service, deadline)
+	}
+	first := doc.Routes[0]
+	for _, class := range callerClasses {
+		route := first
+		route.ID, route.Path, route.Importance = class.name, first.Path+class.name+"/", class.importance
+		doc.Routes = append(doc.Routes, route)
+	}
+	return doc, keys
+}
+
+func overloadNodes(mode overloadMode) []rig.NodeSpec {
+	var nodes []rig.NodeSpec
+	for i, service := range chain {
+		slots := chainSlots
+		if i == len(chain)-1 {
+			slots = deepSlots
+		}
+		nodes = append(nodes, Spread(service, chainVMs, slots, standin.Behaviour{})...)
+	}
+	for i := range nodes {
+		nodes[i].Modules = mode.modules
+	}
+	return nodes
+}
+
+// setSpeed sets every upstream's behaviour; the deepest is slower by factor.
+func (run *overloadRun) setSpeed(ctx context.Context, factor int) error {
+	for _, node := range run.fleet.Nodes {
+		behaviour := standin.Behaviour{WorkMicros: int(chainWork.Microseconds()), Jitter: workJitter}
+		if node.Spec.Service == chain[len(chain)-1] {
+			behaviour.WorkMicros = factor * int(deepWork.Microseconds())
+		}
+		if next := run.next(node.Spec.Service); next != "" {
+			behaviour.Next = []string{next}
+		}
+		if run.mode.straight {
+			behaviour.ChildRetries = hopRetries
+			behaviour.ChildTimeoutMicros = int(hopTimeout.Microseconds())
+		}
+		if err := run.fleet.SetBehaviour(ctx, node, behaviour); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// next returns the target that the service calls; empty for the deepest.
+func (run *overloadRun) next(service string) string {
+	for i, name := range chain[:len(chain)-1] {
+		if name != service {
+			continue
+		}
+		if run.mode.straight {
+			return strings.Join(run.targets(chain[i+1], "/work"), " ")
+		}
+		return "/" + chain[i+1] + "/work"
+	}
+	return ""
+}
+
+// targets returns the URLs of the path at each upstream of the service.
+func (run *overloadRun) targets(service, path string) []string {
+	var targets []string
+	for _, node := range run.fleet.Nodes {
+		if node.Spec.Service == service {
+			targets = append(targets, "http://"+node.UpstreamAddress+path)
+		}
+	}
+	return targets
+}
+
+// drive sends the load: the normal rate all the time, the rest in the surge.
+func (run *overloadRun) drive(ctx context.Context) error {
+	run.started = time.Now()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		load.Run(ctx, load.Options{Rate: normalRate, Duration: overloadWarm + overloadSurge + overloadAfter, Do: run.request(0)})
+		return nil
+	})
+	group.Go(func() error {
+		time.Sleep(time.Until(run.started.Add(overloadWarm)))
+		if err := run.setSpeed(ctx, slowFactor); err != nil {
+			return err
+		}
+		load.Run(ctx, load.Options{Rate: surgeRate - normalRate, Duration: overloadSurge, Do: run.request(1)})
+		return nil
+	})
+	group.Go(func() error {
+		time.Sleep(time.Until(run.started.Add(overloadWarm + overloadSurge)))
+		return run.setSpeed(ctx, 1)
+	})
+	return group.Wait()
+}
+
+// request returns the function that sends one request of a stream.
+func (run *overloadRun) request(stream uint64) func(context.Context, int) load.Sample {
+	return func(ctx context.Context, number int) load.Sample {
+		random := rand.New(rand.NewPCG(run.seed, stream<<32+uint64(number)))
+		class := pickClass(random.Float64())
+		key := run.keys[random.IntN(len(run.keys))]
+		request := overloadRequest{due: time.Since(run.started), top: class.importance == topImportance}
+		for attempt := 0; attempt <= callerRetries && !request.ok; attempt++ {
+			if attempt > 0 {
+				time.Sleep(callerPause)
+			}
+			id := fmt.Sprintf("%d-%d-%d", stream, number, attempt)
+			request.attempts = append(request.attempts, id)
+			request.ok = run.attempt(ctx, run.entry(class, random), key, id)
+		}
+		request.done = time.Since(run.started)
+		run.mu.Lock()
+		defer run.mu.Unlock()
+		run.requests = append(run.requests, request)
+		return load.Sample{OK: request.ok}
+	}
+}
+
+func pickClass(at float64) callerClass {
+	for _, class := range callerClasses {
+		if at -= class.share; at < 0 {
+			return class
+		}
+	}
+	return callerClasses[len(callerClasses)-1]
+}
+
+// entry returns the URL that a caller uses: any node, or any upstream of the
+// first service.
+func (run *overloadRun) entry(class callerClass, random *rand.Rand) string {
+	path := "/" + chain[0] + "/" + class.name + "/x"
+	if run.mode.straight {
+		targets := run.targets(chain[0], path)
+		return targets[random.IntN(len(targets))]
+	}
+	return "http://" + run.fleet.Nodes[random.IntN(len(run.fleet.Nodes))].Callers + path
+}
+
+func (run *overloadRun) attempt(ctx context.Context, target string, key Key, id string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+key.Secret)
+	req.Header.Set(standin.HeaderTestID, id)
+	resp, err := run.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -41,7 +41,11 @@
 	// Abort makes failures break the connection instead of answering.
 	Abort bool `json:"abort"`
 	// Next are the targets that the upstream calls, in order, for each request.
+	// A target is a path at the node's egress, or several URLs separated by
+	// spaces, of which one is chosen at random for each try.
 	Next []string `json:"next"`
+	// ChildTimeoutMicros bounds each try of a call; 0 for no bound of its own.
+	ChildTimeoutMicros int `json:"child_timeout_us"`
 	// ChildRetries is the number of times a failed call is sent again by the
 	// upstream itself.
 	ChildRetries int `json:"child_retries"`
@@ -147,7 +151,7 @@
 		return
 	}
 	for _, next := range behaviour.Next {
-		if err := u.call(r, next, behaviour.ChildRetries); err != nil {
+		if err := u.call(r, next, behaviour); err != nil {
 			u.fail(w, behaviour, http.StatusBadGateway, err.Error())
 			return
 		}
@@ -220,19 +224,33 @@
 	http.Error(w, message, status)
 }
 
-// call sends a request to another service through the node's egress.
-func (u *Upstream) call(r *http.Request, target string, retries int) error {
-	for {
-		err := u.callOnce(r, target)
-		if err == nil || retries == 0 || r.Context().Err() != nil {
+// call sends a request to another service.
+func (u *Upstream) call(r *http.Request, target string, b Behaviour) error {
+	for retries := b.ChildRetries; ; retries-- {
+		err := u.callOnce(r, target, time.Duration(b.ChildTimeoutMicros)*time.Microsecond)
+		if err == nil || retries <= 0 || r.Context().Err() != nil {
 			return err
 		}
-		retries--
 	}
 }
 
-func (u *Upstream) callOnce(r *http.Request, target string) error {
-	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, u.egress+target, nil)
+// locate returns the URL of a target.
+func (u *Upstream) locate(target string) string {
+	choices := strings.Fields(target)
+	if len(choices) == 0 || !strings.Contains(choices[0], "://") {
+		return u.egress + target
+	}
+	return choices[rand.IntN(len(choices))]
+}
+
+func (u *Upstream) callOnce(r *http.Request, target string, timeout time.Duration) error {
+	ctx := r.Context()
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.locate(target), nil)
 	if err != nil {
 		return errors.Wrap(err, "build call")
 	}
--- a/plugin/egress/egress.go
+++ b/plugin/egress/egress.go
@@ -126,6 +126,7 @@
 		Timeout:      min(route.Deadline.Std(), parent.Deadline.Sub(m.clock.Now())),
 		Idempotent:   route.Idempotent,
 		Depth:        parent.Head.Depth + 1,
+		Passed:       parent.Head.Passed,
 		Method:       r.Method,
 		Target:       r.URL.RequestURI(),
 		Header:       call.FieldsOf(header),
--- /dev/null
+++ b/plugin/inbound/gate.go
@@ -0,0 +1,234 @@
+package inbound
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/admission"
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/settings"
+	"github.com/mangomast/mangomast/shedding"
+)
+
+const (
+	// tickInterval is the time between two looks at the queue; a level is
+	// published every ticksPerLevel of them.
+	tickInterval  = 20 * time.Millisecond
+	ticksPerLevel = 5
+)
+
+// gate admits requests to the local upstream. It is safe for concurrent use.
+type gate interface {
+	// Acquire waits until the request may run. It returns a slot that must be
+	// released, or a refusal.
+	Acquire(ctx context.Context, head *call.Head) (slot, *call.Reply)
+	// Load returns the gate's state.
+	Load() call.Load
+	// Level returns what the gate accepts; ok is false if it does not know.
+	Level() (level call.Level, ok bool)
+	// Tick is called at every tickInterval.
+	Tick()
+}
+
+// slot is the right to run one request.
+type slot interface {
+	// Release gives the slot back. Refused says that a call made on behalf of
+	// the request got no answer.
+	Release(reply *call.Reply, refused bool)
+}
+
+// newGate returns a gate for the upstream.
+func (m *Module) newGate(upstream settings.Upstream) gate {
+	queue := queuePerSlot * upstream.Slots
+	if !m.Shedding {
+		return plainGate{admission.NewSlots(upstream.Slots, queue)}
+	}
+	opts := admission.Options{Slots: upstream.Slots, Queue: queue, MaxWait: m.MaxWait.Std()}
+	return &sheddingGate{
+		module:     m,
+		controller: admission.NewController(opts, m.clock.Now()),
+		publisher:  shedding.NewPublisher(shedding.PublisherOptions{Service: upstream.Service, VM: m.vm}),
+		waiting:    map[*admission.Request]chan admission.Action{},
+	}
+}
+
+// load returns the state of the current gate.
+func (m *Module) load() call.Load { return m.serving.Load().gate.Load() }
+
+// adjust ticks the current gate.
+func (m *Module) adjust(ctx context.Context) error {
+	ticker := m.clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+			m.serving.Load().gate.Tick()
+		}
+	}
+}
+
+// sheddingGate drives an admission.Controller and a shedding.Publisher.
+type sheddingGate struct {
+	module *Module
+
+	mu         sync.Mutex
+	controller *admission.Controller
+	publisher  *shedding.Publisher
+	waiting    map[*admission.Request]chan admission.Action
+	ticks      int
+	updated    time.Time
+}
+
+// Acquire implements gate.
+func (g *sheddingGate) Acquire(ctx context.Context, head *call.Head) (slot, *call.Reply) {
+	now := g.module.clock.Now()
+	request := &admission.Request{
+		Importance: head.Importance, Rank: head.Rank, Organisation: head.Organisation,
+		Weight: weight(g.module.config.Snapshot(), head.Organisation), Deadline: now.Add(head.Timeout),
+	}
+	verdict := make(chan admission.Action, 1)
+	g.mu.Lock()
+	g.publisher.Arrived(request.Importance, request.Organisation, request.Weight, head.Passed)
+	g.waiting[request] = verdict
+	g.carryOut(g.controller.Arrive(request, now))
+	g.mu.Unlock()
+	action := g.await(ctx, request, verdict)
+	if !action.Run {
+		g.module.metrics.refused(head, action.Code)
+		return nil, call.Refuse(action.Code, "the request was not run because the upstream is overloaded")
+	}
+	g.module.metrics.waited(head, request.Waited())
+	return &sheddingSlot{gate: g, request: request}, nil
+}
+
+// await returns what becomes of the request.
+func (g *sheddingGate) await(ctx context.Context, request *admission.Request, verdict <-chan admission.Action) admission.Action {
+	select {
+	case action := <-verdict:
+		return action
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiting, request)
+	cancelled := admission.Action{Request: request, Code: call.CodeCancelled}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		cancelled.Code = call.CodeDeadline
+	}
+	if g.controller.Cancel(request) {
+		return cancelled
+	}
+	action := <-verdict
+	if action.Run {
+		g.carryOut(g.controller.Finish(admission.Completion{Request: request}, g.module.clock.Now()))
+		return cancelled
+	}
+	return action
+}
+
+// carryOut tells the waiting requests what becomes of them.
+func (g *sheddingGate) carryOut(actions []admission.Action) {
+	for _, action := range actions {
+		if verdict, ok := g.waiting[action.Request]; ok {
+			verdict <- action
+			delete(g.waiting, action.Request)
+		}
+	}
+}
+
+// Load implements gate.
+func (g *sheddingGate) Load() call.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.controller.State()
+	return call.Load{Running: state.Running, Queued: state.Queued, Limit: state.Limit}
+}
+
+// Level implements gate.
+func (g *sheddingGate) Level() (call.Level, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.publisher.Level(), true
+}
+
+// Tick implements gate.
+func (g *sheddingGate) Tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.module.clock.Now()
+	g.carryOut(g.controller.Tick(now))
+	state := g.controller.State()
+	g.publisher.Observe(state.Running, state.Queued, state.Limit)
+	g.ticks++
+	if g.ticks%ticksPerLevel != 0 {
+		return
+	}
+	if !g.updated.IsZero() {
+		g.publisher.Update(now.Sub(g.updated), state.Limit, state.Service)
+	}
+	g.updated = now
+}
+
+// sheddingSlot is a slot of a sheddingGate.
+type sheddingSlot struct {
+	gate    *sheddingGate
+	request *admission.Request
+}
+
+// Release implements slot.
+func (s *sheddingSlot) Release(reply *call.Reply, refused bool) {
+	answered := reply.Outcome == call.Answered
+	busy := reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests
+	done := admission.Completion{
+		Request:    s.request,
+		Answered:   answered,
+		Overloaded: !refused && (reply.Code == call.CodeUpstreamFailed || (answered && busy)),
+	}
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	s.gate.carryOut(s.gate.controller.Finish(done, s.gate.module.clock.Now()))
+}
+
+// weight returns the organisation's share; 1 if it is not configured.
+func weight(snapshot *config.Snapshot, organisation string) float64 {
+	if snapshot == nil {
+		return 1
+	}
+	org := snapshot.Organisation(organisation)
+	if org == nil || org.Weight <= 0 {
+		return 1
+	}
+	return org.Weight
+}
+
+// plainGate admits in order of arrival up to the upstream's slots.
+type plainGate struct {
+	*admission.Slots
+}
+
+// Acquire implements gate.
+func (g plainGate) Acquire(ctx context.Context, head *call.Head) (slot, *call.Reply) {
+	if refusal := g.Slots.Acquire(ctx, head); refusal != nil {
+		return nil, refusal
+	}
+	return plainSlot(g), nil
+}
+
+// Level implements gate.
+func (plainGate) Level() (call.Level, bool) { return call.Level{}, false }
+
+// Tick implements gate.
+func (plainGate) Tick() {}
+
+// plainSlot is a slot of a plainGate.
+type plainSlot plainGate
+
+// Release implements slot.
+func (s plainSlot) Release(*call.Reply, bool) { s.Slots.Release() }
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -15,11 +15,14 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
-	"github.com/mangomast/mangomast/admission"
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
+	configplugin "github.com/mangomast/mangomast/plugin/config"
 	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
 	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
 	"github.com/mangomast/mangomast/settings"
@@ -31,21 +34,37 @@
 const (
 	upstreamDialTimeout = 1 * time.Second
 	// queuePerSlot is the length of the queue for each slot.
-	queuePerSlot = 4
+	queuePerSlot   = 4
+	defaultMaxWait = 100 * time.Millisecond
+	minMaxWait     = 1 * time.Millisecond
+	maxMaxWait     = 10 * time.Second
 )
 
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID},
-		New:   func() kernel.Module { return &Module{} },
+		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID, configplugin.ID},
+		New: func() kernel.Module {
+			return &Module{Shedding: true, MaxWait: jsonc.Duration(defaultMaxWait)}
+		},
 	})
 }
 
 // Module serves requests on the local upstream.
 type Module struct {
+	// Shedding learns a concurrency limit, sheds by importance and tells
+	// ingresses what is accepted. If false, the upstream's slots are the limit
+	// and requests wait in order of arrival.
+	Shedding bool `json:"shedding"`
+	// MaxWait is the longest time in the queue for requests that run shorter
+	// than that.
+	MaxWait jsonc.Duration `json:"max_wait"`
+
 	clock    clockwork.Clock
 	log      log.Interface
+	vm       string
+	config   config.Source
+	metrics  *metrics
 	running  *call.Registry
 	upstream *upstreamState
 	// serving is replaced when the upstream's address or size changes.
@@ -55,16 +74,24 @@
 // serving is what depends on the upstream's address and size.
 type serving struct {
 	upstream settings.Upstream
-	gate     *admission.Slots
+	gate     gate
 	client   *http.Client
 }
 
 var (
 	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Validator   = (*Module)(nil)
 	_ kernel.ActorSource = (*Module)(nil)
 	_ kernel.Drainer     = (*Module)(nil)
 )
 
+// Validate implements kernel.Validator.
+func (m *Module) Validate(prefix string, findings *finding.List) {
+	if wait := m.MaxWait.Std(); wait < minMaxWait || wait > maxMaxWait {
+		findings.Addf(prefix+"/max_wait", "must be %s to %s", minMaxWait, maxMaxWait)
+	}
+}
+
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
 	fabric, err := kernel.Require[*mesh.Mesh](ctx)
@@ -75,7 +102,11 @@
 	if err != nil {
 		return err
 	}
-	m.clock, m.log = ctx.Clock, ctx.Log
+	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
+		return err
+	}
+	m.clock, m.log, m.vm = ctx.Clock, ctx.Log, ctx.Node.VM
+	m.metrics = newMetrics(ctx.Registry, m.load)
 	m.running = call.NewRegistry()
 	m.upstream = &upstreamState{
 		clock: ctx.Clock, log: ctx.Log, announcer: announcer,
@@ -99,7 +130,7 @@
 	}
 	m.serving.Store(&serving{
 		upstream: upstream,
-		gate:     admission.NewSlots(upstream.Slots, queuePerSlot*upstream.Slots),
+		gate:     m.newGate(upstream),
 		client: &http.Client{
 			Transport:     transport,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -109,7 +140,10 @@
 
 // Actors implements kernel.ActorSource.
 func (m *Module) Actors() []kernel.Actor {
-	return []kernel.Actor{{Name: "watch upstream", Run: m.upstream.watch}}
+	return []kernel.Actor{
+		{Name: "watch upstream", Run: m.upstream.watch},
+		{Name: "adjust admission", Run: m.adjust},
+	}
 }
 
 // Drain implements kernel.Drainer: it refuses new work and waits for what runs.
--- a/plugin/inbound/serve.go
+++ b/plugin/inbound/serve.go
@@ -27,21 +27,22 @@
 		return call.Refuse(call.CodeNoUpstream, "the VM has no upstream for the service"), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, head.Timeout)
-	if refusal := s.gate.Acquire(ctx, head); refusal != nil {
+	slot, refusal := s.gate.Acquire(ctx, head)
+	if refusal != nil {
 		cancel()
-		refusal.Load = s.gate.Load()
+		m.stamp(s, refusal, nil)
 		return refusal, nil
 	}
 	running := &call.Running{Head: head, Context: ctx, Deadline: m.clock.Now().Add(head.Timeout)}
 	token := m.running.Begin(running)
+	reply, answer := m.forward(ctx, s, head, body, token)
+	reply.RetriesUsed, reply.Children = running.Retries().Seal(), running.Children()
+	m.stamp(s, reply, running)
 	finish := func() {
 		m.running.End(token)
-		s.gate.Release()
+		slot.Release(reply, running.Refused())
 		cancel()
 	}
-	reply, answer := m.forward(ctx, s, head, body, token)
-	reply.Load = s.gate.Load()
-	reply.RetriesUsed, reply.Children = running.Retries().Seal(), running.Children()
 	if answer == nil {
 		finish()
 		return reply, nil
@@ -49,6 +50,21 @@
 	return reply, &finishingBody{ReadCloser: answer, finish: finish}
 }
 
+// stamp adds the gate's state to a reply, and what the services called by the
+// request accept.
+func (m *Module) stamp(s *serving, reply *call.Reply, running *call.Running) {
+	reply.Load = s.gate.Load()
+	level, ok := s.gate.Level()
+	if !ok {
+		return
+	}
+	reply.Load.MinImportance, reply.Load.MinRank = level.Least()
+	if running != nil {
+		reply.Levels = running.Levels(m.clock.Now())
+	}
+	reply.Levels = append(reply.Levels, level)
+}
+
 // finishingBody ends the request when its answer is closed.
 type finishingBody struct {
 	io.ReadCloser
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -12,7 +12,6 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
-	"github.com/zeebo/xxh3"
 
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
@@ -22,6 +21,7 @@
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	"github.com/mangomast/mangomast/plugin/dispatch"
 	retryplugin "github.com/mangomast/mangomast/plugin/retry"
+	"github.com/mangomast/mangomast/shedding"
 )
 
 // ID is the module's ID.
@@ -31,12 +31,16 @@
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
 		Needs: []kernel.ID{configplugin.ID, dispatch.ID, retryplugin.ID},
-		New:   func() kernel.Module { return &Module{} },
+		New:   func() kernel.Module { return &Module{Shedding: true} },
 	})
 }
 
 // Module is the listener for callers.
 type Module struct {
+	// Shedding refuses requests that a service deeper in the call graph would
+	// refuse.
+	Shedding bool `json:"shedding"`
+
 	clock      clockwork.Clock
 	log        log.Interface
 	config     config.Source
@@ -44,6 +48,7 @@
 	retries    *retryplugin.Module
 	metrics    *metrics
 	server     *httpserver.Server
+	levels     levelTable
 }
 
 var (
@@ -67,6 +72,7 @@
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
+	m.levels.table = shedding.NewTable(shedding.TableOptions{})
 	e := echo.New()
 	e.Any("/*", m.serve)
 	m.server = httpserver.New(ctx.Node.Listen.Callers, e)
@@ -78,7 +84,10 @@
 
 // Actors implements kernel.ActorSource.
 func (m *Module) Actors() []kernel.Actor {
-	return []kernel.Actor{{Name: "serve", Run: m.server.Run}}
+	return []kernel.Actor{
+		{Name: "serve", Run: m.server.Run},
+		{Name: "expire levels", Run: m.expireLevels},
+	}
 }
 
 // Drain implements kernel.Drainer: it finishes the callers' requests.
@@ -110,6 +119,7 @@
 	checks := []func(*http.Request, *request) *call.Reply{
 		m.authenticate,
 		m.match,
+		m.shed,
 	}
 	for _, check := range checks {
 		if refusal := check(r, req); refusal != nil {
@@ -122,6 +132,7 @@
 	}
 	fillHead(r, req)
 	reply, answer := m.dispatchCounted(r, req, body)
+	m.learn(req, reply)
 	return reply, httpcall.WriteReply(c, req.head.ID, reply, answer, req.route.MaxAnswerBytes)
 }
 
@@ -170,8 +181,6 @@
 	head := req.head
 	head.Route = req.route.ID
 	head.Service = req.route.Service
-	head.Importance = req.route.Importance
-	head.Rank = uint16(xxh3.HashString(req.key.ID))
 	head.Timeout = req.route.Deadline.Std()
 	head.RetryBudget = req.route.RetryBudget
 	head.Idempotent = req.route.Idempotent
--- a/plugin/ingress/metrics.go
+++ b/plugin/ingress/metrics.go
@@ -21,6 +21,7 @@
 type metrics struct {
 	duration *prometheus.HistogramVec
 	requests *prometheus.CounterVec
+	shed     *prometheus.CounterVec
 
 	mu            sync.Mutex
 	organisations map[string]bool
@@ -37,9 +38,13 @@
 			Name: "mangomast_ingress_requests_total",
 			Help: "Callers' requests, by organisation, outcome and reason.",
 		}, []string{"organisation", "outcome", "reason"}),
+		shed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangomast_ingress_shed_total",
+			Help: "Requests refused because a service in the route's call graph would refuse them, by that service and importance.",
+		}, []string{"service", "importance"}),
 		organisations: map[string]bool{},
 	}
-	registerer.MustRegister(m.duration, m.requests)
+	registerer.MustRegister(m.duration, m.requests, m.shed)
 	return m
 }
 
--- /dev/null
+++ b/plugin/ingress/shed.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/shedding"
+)
+
+const expireInterval = 1 * time.Second
+
+// levelTable is a shedding.Table that is safe for concurrent use.
+type levelTable struct {
+	mu    sync.RWMutex
+	table *shedding.Table
+}
+
+// shed fixes the request's importance and rank for its whole tree, and refuses
+// it if a service that the route calls would refuse it.
+func (m *Module) shed(r *http.Request, req *request) *call.Reply {
+	head := req.head
+	head.Importance = req.route.Importance
+	head.Rank = rank(r, req)
+	if !m.Shedding {
+		return nil
+	}
+	m.levels.mu.RLock()
+	decision := m.levels.table.Decide(req.route.ID, head.Importance, head.Organisation, head.Rank, m.clock.Now())
+	m.levels.mu.RUnlock()
+	if decision.Accept {
+		head.Passed = decision.Passed
+		return nil
+	}
+	head.Route = req.route.ID
+	m.metrics.shed.WithLabelValues(decision.Service, strconv.Itoa(int(head.Importance))).Inc()
+	refusal := call.Refuse(call.CodeOverloaded, fmt.Sprintf("service %s sheds requests of importance %d", decision.Service, head.Importance))
+	refusal.RetryAfter = m.retries.Delay()
+	return refusal
+}
+
+// rank spreads users evenly over the ranks. A request that names no user gets
+// a rank of its own, which its repeated sends share.
+func rank(r *http.Request, req *request) uint16 {
+	user := r.Header.Get(call.HeaderUser)
+	if user == "" {
+		user = claimedID(r)
+	}
+	if user == "" {
+		user = req.head.ID
+	}
+	return uint16(xxh3.HashString(req.head.Organisation + "/" + user))
+}
+
+// learn takes in what the services below say that they accept.
+func (m *Module) learn(req *request, reply *call.Reply) {
+	if !m.Shedding || len(reply.Levels) == 0 {
+		return
+	}
+	whole := reply.Outcome == call.Answered && reply.Status < http.StatusInternalServerError
+	m.levels.mu.Lock()
+	defer m.levels.mu.Unlock()
+	m.levels.table.Learn(req.route.ID, whole, reply.Levels, m.clock.Now())
+}
+
+// expireLevels forgets VMs that were not heard of for long.
+func (m *Module) expireLevels(ctx context.Context) error {
+	ticker := m.clock.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+		}
+		m.levels.mu.Lock()
+		m.levels.table.Expire(m.clock.Now())
+		m.levels.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/shedding/shedding_test.go
@@ -0,0 +1,161 @@
+package shedding
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+const interval = 100 * time.Millisecond
+
+func TestSharesAreFairAndOrdered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPublisher(PublisherOptions{Service: "s", VM: "v"})
+		for range rapid.IntRange(1, 30).Draw(t, "intervals") {
+			for range rapid.IntRange(0, 40).Draw(t, "arrivals") {
+				p.Arrived(uint8(rapid.IntRange(1, 9).Draw(t, "importance")),
+					rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+					rapid.Float64Range(0.1, 10).Draw(t, "weight"), rapid.Float64Range(0, 1).Draw(t, "passed"))
+			}
+			p.Observe(rapid.IntRange(0, 8).Draw(t, "running"), rapid.IntRange(0, 32).Draw(t, "queued"), 8)
+			p.Update(interval, 8, time.Duration(rapid.IntRange(0, 500).Draw(t, "ms"))*time.Millisecond)
+			level := p.Level()
+			for i := 1; i < len(level.Accepted); i++ {
+				if level.Accepted[i-1] > level.Accepted[i] {
+					t.Fatalf("importance %d is accepted more than %d: %v", i, i+1, level.Accepted)
+				}
+			}
+		}
+	})
+}
+
+func TestFairSharesStayWithinCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := map[string]*demand{}
+		for i := range rapid.IntRange(1, 8).Draw(t, "organisations") {
+			demands[fmt.Sprint(i)] = &demand{
+				rate:   rapid.Float64Range(leastDemand, 1000).Draw(t, "rate"),
+				weight: rapid.Float64Range(0.1, 10).Draw(t, "weight"),
+			}
+		}
+		capacity := rapid.Float64Range(1, 3000).Draw(t, "capacity")
+		total, weights := 0.0, 0.0
+		for _, d := range demands {
+			weights += d.weight
+		}
+		for name, share := range fairShares(demands, capacity).organisations {
+			d := demands[name]
+			got := share * d.rate
+			total += got
+			if fair := min(d.rate, capacity*d.weight/weights); got < 0.999*fair {
+				t.Fatalf("%s got %g, fair is %g", name, got, fair)
+			}
+		}
+		if total > 1.001*capacity {
+			t.Fatalf("%g given of %g", total, capacity)
+		}
+	})
+}
+
+// service is a VM that an ingress sheds for, in steps of one interval.
+type service struct {
+	publisher *Publisher
+	table     *Table
+	now       time.Time
+	random    uint64
+}
+
+// step sends the rates, by importance, for one interval and returns the
+// accepted rates.
+func (s *service) step(rates map[uint8]float64, limit int, latency time.Duration) map[uint8]float64 {
+	accepted := map[uint8]float64{}
+	total := 0.0
+	for importance, rate := range rates {
+		for range int(rate * interval.Seconds()) {
+			s.random = s.random*6364136223846793005 + 1442695040888963407
+			d := s.table.Decide("r", importance, "o", uint16(s.random>>48), s.now)
+			if d.Accept {
+				s.publisher.Arrived(importance, "o", 1, d.Passed)
+				accepted[importance] += 1 / interval.Seconds()
+				total += 1 / interval.Seconds()
+			}
+		}
+	}
+	capacity := float64(limit) / latency.Seconds()
+	running := int(min(1, total/capacity) * float64(limit))
+	queued := int(max(0, total/capacity-1) * float64(limit))
+	s.publisher.Observe(running, queued, limit)
+	s.publisher.Update(interval, limit, latency)
+	s.now = s.now.Add(interval)
+	s.table.Learn("r", true, []call.Level{s.publisher.Level()}, s.now)
+	return accepted
+}
+
+func TestOverloadKeepsTopImportanceAndRecovers(t *testing.T) {
+	s := &service{
+		publisher: NewPublisher(PublisherOptions{Service: "s", VM: "v"}),
+		table:     NewTable(TableOptions{}), now: time.Unix(1_000_000, 0),
+	}
+	surge := map[uint8]float64{9: 400, 5: 2000, 2: 2000}
+	var accepted map[uint8]float64
+	for range 50 {
+		accepted = s.step(surge, 64, 100*time.Millisecond)
+	}
+	assert.Equal(t, accepted[9], 400.0)
+	total := accepted[9] + accepted[5] + accepted[2]
+	assert.Assert(t, total >= 500 && total <= 1000, "%v", accepted)
+	assert.Assert(t, accepted[2] < 100, "%v", accepted)
+	normal := map[uint8]float64{9: 100, 5: 200, 2: 200}
+	for range 20 {
+		accepted = s.step(normal, 64, 100*time.Millisecond)
+	}
+	assert.DeepEqual(t, accepted, normal)
+}
+
+func TestTableLearnsCallGraphAndForgetsLevels(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	table := NewTable(TableOptions{})
+	full := call.Level{Service: "often", VM: "1", Accepted: make([]byte, 9)}
+	open := call.Level{Service: "often", VM: "2"}
+	rare := call.Level{Service: "rarely", VM: "3", Accepted: make([]byte, 9)}
+	for i := range 100 {
+		levels := []call.Level{full, open}
+		if i%10 == 0 {
+			levels = append(levels, rare)
+		}
+		table.Learn("r", true, levels, now)
+	}
+	d := table.Decide("r", 5, "o", 0, now)
+	assert.Assert(t, !d.Accept)
+	assert.Equal(t, d.Service, "often")
+	assert.Equal(t, d.Passed, 0.5)
+	assert.Assert(t, table.Decide("other", 5, "o", 0, now).Accept)
+	later := now.Add(defaultHold + defaultFade)
+	assert.Assert(t, table.Decide("r", 5, "o", 0, later).Accept)
+	table.Expire(later.Add(time.Millisecond))
+	assert.Equal(t, len(table.services), 0)
+}
+
+func TestOrganisationsHaveSharesOfTheirOwn(t *testing.T) {
+	p := NewPublisher(PublisherOptions{Service: "s", VM: "v"})
+	for range 30 {
+		for range 90 {
+			p.Arrived(5, "greedy", 1, 0)
+		}
+		for range 5 {
+			p.Arrived(5, "modest", 1, 0)
+		}
+		p.Observe(10, 4, 10)
+		p.Update(interval, 10, 50*time.Millisecond)
+	}
+	level := p.Level()
+	assert.Assert(t, level.Share(5, "modest") > 0.95, "%+v", level)
+	assert.Assert(t, level.Share(5, "greedy") < 0.4, "%+v", level)
+	least, _ := level.Least()
+	assert.Equal(t, least, uint8(5))
+}
--- /dev/null
+++ b/shedding/table.go
@@ -0,0 +1,174 @@
+package shedding
+
+import (
+	"time"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+// TableOptions are the parameters of a Table; zero values stand for defaults.
+type TableOptions struct {
+	// Hold is how long a level counts in full; over Fade it then opens up.
+	Hold, Fade time.Duration
+}
+
+const (
+	defaultHold = 400 * time.Millisecond
+	defaultFade = 1 * time.Second
+	// graphWindow is the number of answers that the call graph of a route is
+	// learned from.
+	graphWindow = 256
+	// graphShare of a route's answers must have called a service for it to
+	// count as part of the route's call graph.
+	graphShare = 0.5
+	// startWindow is the number of answers, refusals included, that a call
+	// graph is first learned from.
+	startWindow = 8
+)
+
+// heard is a level with the time at which it was made.
+type heard struct {
+	level call.Level
+	made  time.Time
+}
+
+// graph counts which services a route's requests call.
+type graph struct {
+	seen    float64
+	touched map[string]float64
+}
+
+// Table holds what an ingress has learned from replies: the levels of VMs and
+// the services that each route calls.
+type Table struct {
+	opts     TableOptions
+	services map[string]map[string]heard
+	routes   map[string]*graph
+}
+
+// NewTable returns an empty table.
+func NewTable(opts TableOptions) *Table {
+	if opts.Hold == 0 {
+		opts.Hold = defaultHold
+	}
+	if opts.Fade == 0 {
+		opts.Fade = defaultFade
+	}
+	return &Table{opts: opts, services: map[string]map[string]heard{}, routes: map[string]*graph{}}
+}
+
+// Learn takes in the levels that came with the reply to a request. Whole says
+// that the request was answered successfully, so that its whole call graph
+// was seen.
+func (t *Table) Learn(route string, whole bool, levels []call.Level, now time.Time) {
+	for _, level := range levels {
+		t.hear(level, now)
+	}
+	g := t.routes[route]
+	if g == nil {
+		g = &graph{touched: map[string]float64{}}
+		t.routes[route] = g
+	}
+	if whole || g.seen < startWindow {
+		g.add(levels)
+	}
+}
+
+func (t *Table) hear(level call.Level, now time.Time) {
+	vms := t.services[level.Service]
+	if vms == nil {
+		vms = map[string]heard{}
+		t.services[level.Service] = vms
+	}
+	made := now.Add(-level.Age)
+	if !made.Before(vms[level.VM].made) {
+		vms[level.VM] = heard{level: level, made: made}
+	}
+}
+
+func (g *graph) add(levels []call.Level) {
+	g.seen++
+	touched := map[string]bool{}
+	for _, level := range levels {
+		if !touched[level.Service] {
+			touched[level.Service] = true
+			g.touched[level.Service]++
+		}
+	}
+	if g.seen < graphWindow {
+		return
+	}
+	g.seen /= 2
+	for service := range g.touched {
+		if g.touched[service] /= 2; g.touched[service] < 1 {
+			delete(g.touched, service)
+		}
+	}
+}
+
+// Decision is what an ingress does with a request.
+type Decision struct {
+	// Accept is false if the request is refused.
+	Accept bool
+	// Passed is the share of such requests that is accepted.
+	Passed float64
+	// Service is the one that accepts the least.
+	Service string
+}
+
+// Decide says whether a request is likely to be accepted by every service
+// that its route calls.
+func (t *Table) Decide(route string, importance uint8, organisation string, rank uint16, now time.Time) Decision {
+	d := Decision{Accept: true, Passed: 1}
+	g := t.routes[route]
+	if g == nil {
+		return d
+	}
+	for service, touched := range g.touched {
+		if touched < graphShare*g.seen {
+			continue
+		}
+		if share := t.share(service, importance, organisation, now); share < d.Passed {
+			d.Passed, d.Service = share, service
+		}
+	}
+	d.Accept = d.Passed >= 1 || (d.Passed > 0 && rank >= call.LeastRank(d.Passed))
+	return d
+}
+
+// share returns the mean share over the service's VMs that were heard of.
+func (t *Table) share(service string, importance uint8, organisation string, now time.Time) float64 {
+	vms := t.services[service]
+	total, count := 0.0, 0
+	for _, h := range vms {
+		total += t.aged(h.level.Share(importance, organisation), now.Sub(h.made))
+		count++
+	}
+	if count == 0 {
+		return 1
+	}
+	return total / float64(count)
+}
+
+// aged opens a share up as its level gets old.
+func (t *Table) aged(share float64, age time.Duration) float64 {
+	if age <= t.opts.Hold {
+		return share
+	}
+	faded := min(1, (age-t.opts.Hold).Seconds()/t.opts.Fade.Seconds())
+	return share + (1-share)*faded
+}
+
+// Expire forgets the VMs whose levels no longer count.
+func (t *Table) Expire(now time.Time) {
+	for service, vms := range t.services {
+		for vm, h := range vms {
+			if now.Sub(h.made) > t.opts.Hold+t.opts.Fade {
+				delete(vms, vm)
+			}
+		}
+		if len(vms) == 0 {
+			delete(t.services, service)
+		}
+	}
+}
