Count each organisation's rate and burst over all VMs together

Cause: the ingress admitted whatever came with a valid key; nothing counted an organisation's rate over more than one VM.

Change: package quota decides. One owner for each organisation leases shares of rate and burst to the nodes with demand; shares mint tokens, requests spend them, and the sum of all shares never exceeds the limit. An ingress without a token asks the owner before it refuses. Module quota drives it over the mesh; the owner table is kept by compare-and-swap by whichever node first misses an owner. The ingress spends a token after the route is matched.

Excluded: tokens leased without rate.

--- a/config/owner.go
+++ b/config/owner.go
@@ -56,3 +56,13 @@
 	}
 	return t.Revision
 }
+
+// Owned reports whether every organisation of the document has an owner.
+func (s *Snapshot) Owned() bool {
+	for _, org := range s.Document.Organisations {
+		if _, ok := s.Owners.Owner(org.ID); !ok {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/bench/quota.go
@@ -0,0 +1,205 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+	quotaplugin "github.com/mangomast/mangomast/plugin/quota"
+	"github.com/mangomast/mangomast/quota"
+)
+
+func init() {
+	Register(Case{Name: "quota", Help: "rate and burst over all VMs while demand moves and owners, ingress nodes, the store and a region fail", Run: runQuota})
+}
+
+const (
+	quotaRate  = 100.0
+	quotaBurst = 50.0
+	// quotaDemand and greedyDemand are the demands of the two organisations,
+	// as parts of the rate.
+	quotaDemand  = 0.8
+	greedyDemand = 3.0
+	// maxWrongful is the share of requests within the rate that may be refused
+	// in calm and while the store is out.
+	maxWrongful = 0.01
+	// storeOutage is the default length of the store's outage.
+	storeOutage = 6 * time.Second
+)
+
+// quotaPhase is a time with one fault.
+type quotaPhase struct {
+	name string
+	// bounded phases must keep wrongful refusals within maxWrongful.
+	bounded bool
+	length  time.Duration
+	// begin brings the fault about and returns how to end it; nil for none.
+	begin func(ctx context.Context, q *quotaRun) (end func() error, err error)
+}
+
+// quotaRow counts the requests within the rate that were sent in one phase.
+type quotaRow struct {
+	Phase string `json:"phase"`
+	Sent  int    `json:"sent"`
+	// Refused requests were told that the rate is used up, wrongly.
+	Refused int `json:"refused"`
+	// Stale requests found no VM with fresh configuration.
+	Stale int `json:"stale"`
+	// Failed requests met any other error.
+	Failed   int     `json:"failed"`
+	Wrongful float64 `json:"wrongful_share"`
+}
+
+func (r *quotaRow) count(reason string) {
+	r.Sent++
+	switch reason {
+	case "":
+	case call.CodeRateLimited.String():
+		r.Refused++
+	case call.CodeStaleConfig.String():
+		r.Stale++
+	default:
+		r.Failed++
+	}
+}
+
+type quotaFigures struct {
+	Rows []quotaRow `json:"phases"`
+	// Excess is the most by which any window of the whole run over all VMs
+	// exceeded burst + rate*w, by organisation; the promise is 0 or below.
+	Excess   map[string]float64 `json:"excess"`
+	Admitted map[string]int     `json:"admitted"`
+	// LocalExcess is the same with the whole rate on each VM.
+	LocalExcess map[string]float64 `json:"local_buckets_excess"`
+}
+
+func quotaPhases(outage time.Duration) []quotaPhase {
+	if outage == 0 {
+		outage = storeOutage
+	}
+	return []quotaPhase{
+		{name: "calm", bounded: true, length: 5 * time.Second},
+		{name: "store out", bounded: true, length: outage, begin: takeStoreOut},
+		{name: "owner paused beyond its lease", length: quota.Lease + 1500*time.Millisecond, begin: pauseOwner},
+		{name: "owner resumed", length: 2 * time.Second},
+		{name: "owner killed", length: 5 * time.Second, begin: killOwner},
+		{name: "ingress killed", length: 4 * time.Second, begin: killIngress},
+		{name: "region cut", length: 5 * time.Second, begin: cutRegion},
+		{name: "region back", length: 2 * time.Second},
+	}
+}
+
+func runQuota(ctx context.Context, env *Env) (*Report, error) {
+	figures := &quotaFigures{}
+	phases := quotaPhases(env.Duration)
+	if err := figures.measure(ctx, env, phases); err != nil {
+		return nil, err
+	}
+	if err := figures.measureLocal(ctx, env); err != nil {
+		return nil, err
+	}
+	return figures.report(phases), nil
+}
+
+func (f *quotaFigures) measure(ctx context.Context, env *Env, phases []quotaPhase) error {
+	q, err := startQuota(ctx, env.Seed, quotaplugin.ModeFleet)
+	if err != nil {
+		return err
+	}
+	defer q.fleet.Close()
+	if f.Rows, err = q.run(ctx, phases); err != nil {
+		return err
+	}
+	f.Excess, f.Admitted, err = q.excess()
+	return err
+}
+
+// measureLocal shows what happens without the mechanism.
+func (f *quotaFigures) measureLocal(ctx context.Context, env *Env) error {
+	q, err := startQuota(ctx, env.Seed, quotaplugin.ModeLocal)
+	if err != nil {
+		return err
+	}
+	defer q.fleet.Close()
+	if _, err = q.run(ctx, []quotaPhase{{name: "calm", length: 4 * time.Second}}); err != nil {
+		return err
+	}
+	f.LocalExcess, _, err = q.excess()
+	return err
+}
+
+func (f *quotaFigures) report(phases []quotaPhase) *Report {
+	report := &Report{Holds: true, Figures: f, Header: []string{
+		"phase", "sent within rate", "rate-limited", "stale", "failed", "wrongful share",
+	}}
+	for i, row := range f.Rows {
+		report.Rows = append(report.Rows, []string{
+			row.Phase, fmt.Sprint(row.Sent), fmt.Sprint(row.Refused), fmt.Sprint(row.Stale), fmt.Sprint(row.Failed), fmt.Sprintf("%.4f", row.Wrongful),
+		})
+		report.Holds = report.Holds && !(phases[i].bounded && row.Wrongful > maxWrongful)
+	}
+	for _, org := range []string{"org-1", "org-2"} {
+		report.Rows = append(report.Rows, []string{
+			"every window, " + org, fmt.Sprintf("%d admitted", f.Admitted[org]), fmt.Sprintf("worst %+.2f", f.Excess[org]),
+			fmt.Sprintf("local buckets %+.2f", f.LocalExcess[org]), "", "",
+		})
+		report.Holds = report.Holds && f.Admitted[org] > 0 && f.Excess[org] <= 0
+	}
+	return report
+}
+
+func takeStoreOut(ctx context.Context, q *quotaRun) (func() error, error) {
+	err := q.fleet.SetStoreFaults(ctx, standin.Faults{Outage: true})
+	return func() error { return q.fleet.SetStoreFaults(ctx, standin.Faults{}) }, err
+}
+
+func pauseOwner(ctx context.Context, q *quotaRun) (func() error, error) {
+	owner, err := q.fleet.Owner(ctx, q.keys[0].Organisation)
+	if err != nil {
+		return nil, err
+	}
+	q.setAway(owner, true)
+	return func() error {
+		q.setAway(owner, false)
+		return owner.Process.Resume()
+	}, owner.Process.Freeze()
+}
+
+func killOwner(ctx context.Context, q *quotaRun) (func() error, error) {
+	owner, err := q.fleet.Owner(ctx, q.keys[0].Organisation)
+	if err != nil {
+		return nil, err
+	}
+	return q.kill(owner), nil
+}
+
+func killIngress(ctx context.Context, q *quotaRun) (func() error, error) {
+	owner, err := q.fleet.Owner(ctx, q.keys[0].Organisation)
+	if err != nil {
+		return nil, err
+	}
+	for _, node := range q.fleet.Nodes {
+		if node != owner && node.Spec.Region == owner.Spec.Region {
+			return q.kill(node), nil
+		}
+	}
+	return q.kill(q.fleet.Nodes[quotaVMs-1]), nil
+}
+
+// kill ends a node at once and returns how to start it again.
+func (q *quotaRun) kill(node *rig.Node) func() error {
+	q.setAway(node, true)
+	node.Process.Kill()
+	return func() error {
+		q.setAway(node, false)
+		return q.fleet.StartNode(node)
+	}
+}
+
+func cutRegion(_ context.Context, q *quotaRun) (func() error, error) {
+	q.setCut("jurmala")
+	return func() error { q.setCut(""); return nil }, nil
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -197,7 +197,7 @@
 		client := operator.NewClient("http://"+n.Listen.Admin, f.token)
 		for {
 			status, err := client.Status(ctx)
-			if err == nil && status.Revision > 0 && status.Fresh && readyMembers(status) == len(f.nodes) {
+			if err == nil && status.Revision > 0 && status.Fresh && status.Owned && readyMembers(status) == len(f.nodes) {
 				break
 			}
 			select {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -284,7 +284,7 @@
 func (r *Rig) waitNode(ctx context.Context, node *Node) error {
 	for {
 		status, err := r.Status(ctx, node)
-		if err == nil && status.Revision > 0 && status.Fresh && len(status.Members) >= len(r.Nodes) && allReady(status) {
+		if err == nil && status.Revision > 0 && status.Fresh && status.Owned && len(status.Members) >= len(r.Nodes) && allReady(status) {
 			return nil
 		}
 		select {
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -42,6 +42,9 @@
 	KindQuota
 	KindAnswer
 	KindOperator
+	// KindQuotaRecall asks a holder for what it can spare; KindQuota carries
+	// its asks.
+	KindQuotaRecall Kind = 30
 )
 
 // Kinds of requests about members and the revision stream.
--- a/operator/client.go
+++ b/operator/client.go
@@ -36,10 +36,12 @@
 
 // Status is a node's view of the fleet.
 type Status struct {
-	VM       string             `json:"vm"`
-	Revision int64              `json:"revision"`
-	Fresh    bool               `json:"fresh"`
-	Members  []membership.Entry `json:"members"`
+	VM       string `json:"vm"`
+	Revision int64  `json:"revision"`
+	Fresh    bool   `json:"fresh"`
+	// Owned is true once every organisation's rate has an owner in force.
+	Owned   bool               `json:"owned"`
+	Members []membership.Entry `json:"members"`
 }
 
 // Document reads the document.
--- a/plugin/admin/admin.go
+++ b/plugin/admin/admin.go
@@ -87,6 +87,7 @@
 	status := operator.Status{VM: m.members.Self().VM, Fresh: m.config.Fresh(), Members: members}
 	if snapshot := m.config.Snapshot(); snapshot != nil {
 		status.Revision = snapshot.Revision
+		status.Owned = snapshot.Owned() && m.config.Accepted() >= snapshot.Owners.StreamRevision()
 	}
 	return c.JSON(http.StatusOK, status)
 }
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/mangomast/mangomast/kernel"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	"github.com/mangomast/mangomast/plugin/dispatch"
+	"github.com/mangomast/mangomast/plugin/quota"
 	retryplugin "github.com/mangomast/mangomast/plugin/retry"
 	"github.com/mangomast/mangomast/shedding"
 )
@@ -30,7 +31,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{configplugin.ID, dispatch.ID, retryplugin.ID},
+		Needs: []kernel.ID{configplugin.ID, dispatch.ID, quota.ID, retryplugin.ID},
 		New:   func() kernel.Module { return &Module{Shedding: true} },
 	})
 }
@@ -45,6 +46,7 @@
 	log        log.Interface
 	config     config.Source
 	dispatcher dispatch.Dispatcher
+	quota      quota.Gate
 	retries    *retryplugin.Module
 	metrics    *metrics
 	server     *httpserver.Server
@@ -67,6 +69,9 @@
 	if m.dispatcher, err = kernel.Require[dispatch.Dispatcher](ctx); err != nil {
 		return err
 	}
+	if m.quota, err = kernel.Require[quota.Gate](ctx); err != nil {
+		return err
+	}
 	if m.retries, err = kernel.Require[*retryplugin.Module](ctx); err != nil {
 		return err
 	}
@@ -120,6 +125,7 @@
 		m.authenticate,
 		m.match,
 		m.shed,
+		m.spend,
 	}
 	for _, check := range checks {
 		if refusal := check(r, req); refusal != nil {
--- /dev/null
+++ b/plugin/ingress/quota.go
@@ -0,0 +1,12 @@
+package ingress
+
+import (
+	"net/http"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+// spend takes a token of the organisation's rate, or refuses the request.
+func (m *Module) spend(r *http.Request, req *request) *call.Reply {
+	return m.quota.Admit(r.Context(), req.head.Organisation)
+}
--- /dev/null
+++ b/plugin/quota/holders.go
@@ -0,0 +1,306 @@
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/mesh"
+	"github.com/mangomast/mangomast/quota"
+)
+
+const (
+	// askTimeout bounds an ask; abandonWait is the time to the next one.
+	askTimeout  = 300 * time.Millisecond
+	abandonWait = 50 * time.Millisecond
+	// maxWaiting bounds the requests of one organisation that wait.
+	maxWaiting = 1000
+	// retryAfter is the mean advice of a refusal.
+	retryAfter = time.Second
+	// idleTime is how long an unused holding is kept.
+	idleTime = time.Minute
+)
+
+// holders are this node's shares of the organisations' limits.
+type holders struct {
+	*Module
+	mu             sync.Mutex
+	byOrganisation map[string]*holding
+}
+
+// holding is this node's share of one organisation's limit.
+type holding struct {
+	mu      sync.Mutex
+	holder  *quota.Holder
+	waiting int
+	used    time.Time
+	// changed is closed and replaced whenever requests that wait may go on.
+	changed chan struct{}
+	// local is the whole limit, in ModeLocal.
+	local *quota.LocalBucket
+}
+
+// wake lets the waiting requests try again. The caller holds the mutex.
+func (h *holding) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// holding returns the organisation's holding at its limit of now.
+func (s *holders) holding(organisation string) (*holding, bool) {
+	limit, ok := limitOf(s.config.Snapshot(), organisation)
+	if !ok {
+		return nil, false
+	}
+	now := s.clock.Now()
+	s.mu.Lock()
+	h := s.byOrganisation[organisation]
+	if h == nil {
+		h = &holding{
+			holder: quota.NewHolder(organisation, limit), changed: make(chan struct{}),
+			local: quota.NewLocalBucket(now, limit),
+		}
+		s.byOrganisation[organisation] = h
+	}
+	s.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.used = now
+	h.holder.SetLimit(now, limit)
+	return h, true
+}
+
+// admit spends a token, asking the owner before it refuses.
+func (s *holders) admit(ctx context.Context, organisation string) *call.Reply {
+	h, ok := s.holding(organisation)
+	if !ok {
+		return call.Refuse(call.CodeForbidden, "the organisation is not part of the configuration")
+	}
+	if s.Mode == ModeLocal {
+		return s.admitLocal(h, organisation)
+	}
+	deadline := s.clock.Now().Add(s.MaxWait.Std())
+	verdict, changed, next := s.take(h, organisation, false)
+	if verdict == quota.Wait {
+		defer h.leave()
+	}
+	for verdict == quota.Wait {
+		s.step(h, organisation)
+		if !s.wait(ctx, changed, next, deadline) {
+			return refusal("no token could be had from the organisation's owner in time")
+		}
+		verdict, changed, next = s.take(h, organisation, true)
+	}
+	if verdict == quota.Exhausted {
+		return refusal("the organisation's rate is used up")
+	}
+	return nil
+}
+
+func (s *holders) admitLocal(h *holding, organisation string) *call.Reply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := s.clock.Now()
+	if !h.local.Take(now) {
+		return refusal("the organisation's rate is used up on this VM")
+	}
+	s.logAdmission(organisation, now)
+	return nil
+}
+
+// refusal returns a true refusal with advice that spreads the callers.
+func refusal(message string) *call.Reply {
+	reply := call.Refuse(call.CodeRateLimited, message)
+	reply.RetryAfter = time.Duration((0.5 + rand.Float64()) * float64(retryAfter))
+	return reply
+}
+
+// take tries to spend a token. The first time a request has to wait it counts
+// as waiting, until leave. It returns what to wait for.
+func (s *holders) take(h *holding, organisation string, waits bool) (quota.Verdict, <-chan struct{}, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := s.clock.Now()
+	if !waits {
+		h.holder.Arrive(now)
+	}
+	verdict := h.holder.Take(now)
+	if verdict == quota.Wait && !waits && h.waiting >= maxWaiting {
+		verdict = quota.Exhausted
+	}
+	if verdict == quota.Wait && !waits {
+		h.waiting++
+	}
+	if verdict == quota.Admitted {
+		s.logAdmission(organisation, now)
+	}
+	return verdict, h.changed, h.holder.NextEvent(now)
+}
+
+func (h *holding) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waiting--
+}
+
+// wait blocks until the holding changed or the time next; false if the
+// request cannot wait any longer.
+func (s *holders) wait(ctx context.Context, changed <-chan struct{}, next, deadline time.Time) bool {
+	now := s.clock.Now()
+	if !now.Before(deadline) {
+		return false
+	}
+	until := deadline
+	if next.After(now) && next.Before(deadline) {
+		until = next
+	}
+	timer := s.clock.NewTimer(until.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.Chan():
+		return s.clock.Now().Before(deadline)
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *holders) logAdmission(organisation string, now time.Time) {
+	s.log.WithFields(log.Fields{"organisation": organisation, "admitted_unix_ns": now.UnixNano()}).Debug("admitted")
+}
+
+// run sends the asks that are due.
+func (s *holders) run(ctx context.Context) error {
+	ticker := s.clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+		}
+		for organisation, h := range s.all() {
+			s.step(h, organisation)
+		}
+	}
+}
+
+// all returns the holdings and forgets those that are long unused.
+func (s *holders) all() map[string]*holding {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]*holding, len(s.byOrganisation))
+	for organisation, h := range s.byOrganisation {
+		if h.idle(now) {
+			delete(s.byOrganisation, organisation)
+			continue
+		}
+		all[organisation] = h
+	}
+	return all
+}
+
+func (h *holding) idle(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.waiting == 0 && now.Sub(h.used) > idleTime
+}
+
+// step sends an ask if one is due.
+func (s *holders) step(h *holding, organisation string) {
+	entry, known := s.ownerOf(organisation)
+	if !known {
+		return
+	}
+	h.mu.Lock()
+	now := s.clock.Now()
+	due := h.holder.Due(now, h.waiting)
+	var ask quota.Ask
+	if due {
+		ask = h.holder.Ask(now, entry.Term, h.waiting)
+	}
+	h.mu.Unlock()
+	if due {
+		go s.ask(h, entry, ask)
+	}
+}
+
+func (s *holders) ownerOf(organisation string) (config.Owner, bool) {
+	snapshot := s.config.Snapshot()
+	if snapshot == nil {
+		return config.Owner{}, false
+	}
+	return snapshot.Owners.Owner(organisation)
+}
+
+// ask sends one ask to the owner and takes in its answer.
+func (s *holders) ask(h *holding, owner config.Owner, ask quota.Ask) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	started := s.clock.Now()
+	answer, err := s.exchange(ctx, owner, ask)
+	now := s.clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		s.log.WithError(err).WithFields(log.Fields{"organisation": ask.Organisation, "owner": owner.VM}).Debug("owner did not answer")
+		h.holder.Abandon(now, ask.Number, abandonWait)
+	} else {
+		s.metrics.askDuration.Observe(now.Sub(started).Seconds())
+		h.holder.Apply(now, answer)
+	}
+	h.wake()
+}
+
+func (s *holders) exchange(ctx context.Context, owner config.Owner, ask quota.Ask) (answer quota.Answer, err error) {
+	if owner.VM == s.mesh.Self().VM {
+		return s.owners.serveAsk(ctx, s.mesh.Self(), ask)
+	}
+	entry, ok := s.members.View().Get(owner.VM)
+	if !ok {
+		return answer, errOwnerAbsent
+	}
+	err = s.mesh.Exchange(ctx, mesh.Peer{VM: owner.VM, Address: entry.MeshAddress}, mesh.KindQuota, ask, &answer)
+	return answer, err
+}
+
+// nothing is the answer to a recall.
+type nothing struct{}
+
+// serveRecall handles an owner's recall.
+func (s *holders) serveRecall(_ context.Context, _ mesh.Identity, recall quota.Recall) (nothing, error) {
+	s.mu.Lock()
+	h := s.byOrganisation[recall.Organisation]
+	s.mu.Unlock()
+	if h == nil {
+		return nothing{}, nil
+	}
+	h.mu.Lock()
+	h.holder.Recall()
+	h.mu.Unlock()
+	s.step(h, recall.Organisation)
+	return nothing{}, nil
+}
+
+// release gives back every share.
+func (s *holders) release(ctx context.Context) {
+	var group sync.WaitGroup
+	for organisation, h := range s.all() {
+		owner, known := s.ownerOf(organisation)
+		if !known {
+			continue
+		}
+		h.mu.Lock()
+		ask := h.holder.Release(s.clock.Now(), owner.Term)
+		h.mu.Unlock()
+		group.Go(func() { _, _ = s.exchange(ctx, owner, ask) })
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/plugin/quota/owners.go
@@ -0,0 +1,139 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/mesh"
+	"github.com/mangomast/mangomast/quota"
+)
+
+var (
+	errOwnerAbsent = errors.New("the organisation's owner is not a member")
+	errNotOwner    = errors.New("this node is not the organisation's owner now")
+)
+
+const recallTimeout = 300 * time.Millisecond
+
+// owners are the organisations that this node grants shares of.
+type owners struct {
+	*Module
+	mu             sync.Mutex
+	byOrganisation map[string]*quota.Owner
+}
+
+// run takes up organisations as soon as their term is accepted, and drops
+// those that another node owns.
+func (s *owners) run(ctx context.Context) error {
+	ticker := s.clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+		}
+		s.refresh()
+	}
+}
+
+func (s *owners) refresh() {
+	snapshot := s.config.Snapshot()
+	if snapshot == nil || snapshot.Owners == nil {
+		return
+	}
+	self := s.mesh.Self()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mine := map[string]bool{}
+	for _, entry := range snapshot.Owners.Owners {
+		if entry.VM == self.VM && entry.Incarnation == self.Incarnation {
+			mine[entry.Organisation] = true
+			s.take(snapshot, entry)
+		}
+	}
+	for organisation := range s.byOrganisation {
+		if !mine[organisation] {
+			delete(s.byOrganisation, organisation)
+		}
+	}
+}
+
+// take begins a term once it is accepted on every node that may serve. The
+// caller holds the mutex.
+func (s *owners) take(snapshot *config.Snapshot, entry config.Owner) {
+	known := s.byOrganisation[entry.Organisation]
+	limit, ok := limitOf(snapshot, entry.Organisation)
+	if !ok || (known != nil && known.Term() == entry.Term) {
+		return
+	}
+	if s.config.Accepted() < snapshot.Owners.Revision || !s.config.Fresh() {
+		return
+	}
+	s.byOrganisation[entry.Organisation] = quota.NewOwner(s.clock.Now(), entry.Term, limit, entry.Term == 1)
+	s.log.WithField("organisation", entry.Organisation).WithField("term", entry.Term).Info("owns the organisation's rate")
+}
+
+// owner returns the organisation's owner if this node is it at this moment.
+// The caller holds the mutex.
+func (s *owners) owner(organisation string) (*quota.Owner, bool) {
+	owner := s.byOrganisation[organisation]
+	if owner == nil || !s.config.Fresh() {
+		return nil, false
+	}
+	snapshot := s.config.Snapshot()
+	entry, ok := snapshot.Owners.Owner(organisation)
+	self := s.mesh.Self()
+	if !ok || entry.VM != self.VM || entry.Incarnation != self.Incarnation || entry.Term != owner.Term() {
+		return nil, false
+	}
+	limit, ok := limitOf(snapshot, organisation)
+	if !ok {
+		return nil, false
+	}
+	owner.SetLimit(s.clock.Now(), limit)
+	return owner, true
+}
+
+// serveAsk answers a holder.
+func (s *owners) serveAsk(_ context.Context, from mesh.Identity, ask quota.Ask) (quota.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owner, ok := s.owner(ask.Organisation)
+	if !ok {
+		return quota.Answer{}, errNotOwner
+	}
+	holder := quota.HolderID{VM: from.VM, Incarnation: from.Incarnation}
+	answer, recalls, err := owner.Handle(s.clock.Now(), holder, ask)
+	if err != nil {
+		return answer, err
+	}
+	s.metrics.granted.WithLabelValues(s.metrics.label(ask.Organisation)).Add(answer.Tokens)
+	for _, id := range recalls {
+		go s.recall(id, quota.Recall{Organisation: ask.Organisation, Term: ask.Term})
+	}
+	return answer, nil
+}
+
+// recall asks a holder for what it can spare.
+func (s *owners) recall(id quota.HolderID, recall quota.Recall) {
+	ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
+	defer cancel()
+	if id.VM == s.mesh.Self().VM {
+		_, _ = s.holders.serveRecall(ctx, s.mesh.Self(), recall)
+		return
+	}
+	entry, ok := s.members.View().Get(id.VM)
+	if !ok || entry.Incarnation != id.Incarnation {
+		return
+	}
+	var answer nothing
+	err := s.mesh.Exchange(ctx, mesh.Peer{VM: id.VM, Address: entry.MeshAddress}, mesh.KindQuotaRecall, recall, &answer)
+	if err != nil {
+		s.log.WithError(err).WithField("holder", id.VM).Debug("holder did not answer a recall")
+	}
+}
--- /dev/null
+++ b/plugin/quota/quota.go
@@ -0,0 +1,173 @@
+// Package quota spends an organisation's rate and burst for each request that
+// the ingress admits. It drives package quota over the mesh: this node's
+// holders ask the organisations' owners for shares, and the owners that this
+// node runs answer the holders of all nodes.
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/jsonc"
+	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
+	configplugin "github.com/mangomast/mangomast/plugin/config"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
+	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
+	storeplugin "github.com/mangomast/mangomast/plugin/store"
+	"github.com/mangomast/mangomast/quota"
+	"github.com/mangomast/mangomast/store"
+)
+
+// ID is the module's ID.
+const ID kernel.ID = "quota"
+
+// Values of Module.Mode.
+const (
+	// ModeFleet counts each organisation's rate over all VMs together.
+	ModeFleet = "fleet"
+	// ModeLocal gives each VM the whole rate. It is a baseline for measurements.
+	ModeLocal = "local"
+	// ModeOff admits everything.
+	ModeOff = "off"
+)
+
+const (
+	defaultMaxWait = 300 * time.Millisecond
+	tickInterval   = 20 * time.Millisecond
+	drainTimeout   = time.Second
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    ID,
+		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID, configplugin.ID, storeplugin.ID},
+		New: func() kernel.Module {
+			return &Module{Mode: ModeFleet, MaxWait: jsonc.Duration(defaultMaxWait)}
+		},
+	})
+}
+
+// Gate admits requests within their organisation's rate. It is safe for
+// concurrent use.
+type Gate interface {
+	// Admit spends a token of the organisation, or returns a refusal. It
+	// blocks while the owner is asked, at most for the module's MaxWait.
+	Admit(ctx context.Context, organisation string) *call.Reply
+}
+
+// Module implements Gate.
+type Module struct {
+	// Mode is "fleet", or for measurements "local" or "off".
+	Mode string `json:"mode"`
+	// MaxWait bounds how long a request waits for its owner's answer before it
+	// is refused.
+	MaxWait jsonc.Duration `json:"max_wait"`
+
+	clock   clockwork.Clock
+	log     log.Interface
+	config  config.Source
+	members membership.Source
+	mesh    *mesh.Mesh
+	metrics *metrics
+	holders *holders
+	owners  *owners
+	keeper  *tableKeeper
+}
+
+var (
+	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Validator   = (*Module)(nil)
+	_ kernel.ActorSource = (*Module)(nil)
+	_ kernel.Drainer     = (*Module)(nil)
+	_ Gate               = (*Module)(nil)
+)
+
+// Validate implements kernel.Validator.
+func (m *Module) Validate(prefix string, findings *finding.List) {
+	switch m.Mode {
+	case ModeFleet, ModeLocal, ModeOff:
+	default:
+		findings.Addf(prefix+"/mode", "must be %q, %q or %q", ModeFleet, ModeLocal, ModeOff)
+	}
+	if m.MaxWait < 0 {
+		findings.Addf(prefix+"/max_wait", "must not be negative")
+	}
+}
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.mesh, err = kernel.Require[*mesh.Mesh](ctx); err != nil {
+		return err
+	}
+	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
+		return err
+	}
+	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
+		return err
+	}
+	platform, err := kernel.Require[store.Store](ctx)
+	if err != nil {
+		return err
+	}
+	m.clock, m.log = ctx.Clock, ctx.Log
+	m.metrics = newMetrics(ctx.Registry)
+	m.holders = &holders{Module: m, byOrganisation: map[string]*holding{}}
+	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}}
+	m.keeper = newTableKeeper(m, platform, ctx.Node.Store.Prefix+config.OwnersKey)
+	m.mesh.Handle(mesh.KindQuota, mesh.Typed(m.owners.serveAsk))
+	m.mesh.Handle(mesh.KindQuotaRecall, mesh.Typed(m.holders.serveRecall))
+	kernel.Provide[Gate](ctx, m)
+	return nil
+}
+
+// Actors implements kernel.ActorSource.
+func (m *Module) Actors() []kernel.Actor {
+	return []kernel.Actor{
+		{Name: "hold shares", Run: m.holders.run},
+		{Name: "own organisations", Run: m.owners.run},
+		{Name: "keep the owner table", Run: m.keeper.run},
+	}
+}
+
+// Drain implements kernel.Drainer: it gives back this node's shares.
+func (m *Module) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	m.holders.release(ctx)
+	return nil
+}
+
+// Admit implements Gate.
+func (m *Module) Admit(ctx context.Context, organisation string) *call.Reply {
+	if m.Mode == ModeOff {
+		return nil
+	}
+	refusal := m.holders.admit(ctx, organisation)
+	if refusal != nil {
+		m.metrics.refused.WithLabelValues(m.metrics.label(organisation)).Inc()
+		return refusal
+	}
+	m.metrics.admitted.WithLabelValues(m.metrics.label(organisation)).Inc()
+	return nil
+}
+
+// limitOf returns an organisation's limit in the snapshot.
+func limitOf(snapshot *config.Snapshot, organisation string) (quota.Limit, bool) {
+	if snapshot == nil {
+		return quota.Limit{}, false
+	}
+	org := snapshot.Organisation(organisation)
+	if org == nil {
+		return quota.Limit{}, false
+	}
+	return quota.Limit{Rate: org.Rate, Burst: org.Burst}, true
+}
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -13,5 +13,6 @@
 	_ "github.com/mangomast/mangomast/plugin/membership"
 	_ "github.com/mangomast/mangomast/plugin/mesh"
 	_ "github.com/mangomast/mangomast/plugin/operator"
+	_ "github.com/mangomast/mangomast/plugin/quota"
 	_ "github.com/mangomast/mangomast/plugin/store"
 )
