--- /dev/null
+++ b/quota/demand.go
@@ -0,0 +1,30 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// demandWindow is the time constant of the smoothed demand.
+const demandWindow = time.Second
+
+// demand estimates the requests a second by an exponential average.
+type demand struct {
+	rate float64
+	at   time.Time
+}
+
+func (d *demand) decay(now time.Time) {
+	elapsed := now.Sub(d.at)
+	if elapsed <= 0 {
+		return
+	}
+	d.rate *= math.Exp(-float64(elapsed) / float64(demandWindow))
+	d.at = now
+}
+
+// add counts one request.
+func (d *demand) add(now time.Time) {
+	d.decay(now)
+	d.rate += 1 / demandWindow.Seconds()
+}
--- /dev/null
+++ b/quota/holder.go
@@ -0,0 +1,225 @@
+package quota
+
+import (
+	"time"
+)
+
+const (
+	// idleDemand is the demand below which a share is given back whole.
+	idleDemand = 0.05
+	// lowWater is the time's worth of demand below which a holder asks for
+	// tokens before it has run out.
+	lowWater = 60 * time.Millisecond
+	// askGap is the least time between two asks that no request waits for.
+	askGap = 100 * time.Millisecond
+	// recallKeep is the time's worth of demand that a recalled holder keeps.
+	recallKeep = 100 * time.Millisecond
+)
+
+// Verdict is what becomes of a request.
+type Verdict int
+
+const (
+	// Admitted means that a token was spent.
+	Admitted Verdict = iota
+	// Wait means that the owner's answer has to be awaited.
+	Wait
+	// Exhausted means that the owner has said that the rate is used up.
+	Exhausted
+)
+
+// Holder keeps one node's share of one organisation's limit. It is not safe
+// for concurrent use.
+type Holder struct {
+	organisation string
+	limit        Limit
+	bucket       bucket
+	demand       demand
+	// expires is the end of the lease.
+	expires time.Time
+	// number is that of the last ask; pending while it may be answered.
+	number  uint64
+	pending bool
+	askedAt time.Time
+	// burst and keep are what the last answer lets the holder have.
+	burst, keep float64
+	nextAsk     time.Time
+	useless     time.Time
+	exhausted   bool
+	recalled    bool
+}
+
+// NewHolder returns a holder without a share.
+func NewHolder(organisation string, limit Limit) *Holder {
+	return &Holder{organisation: organisation, limit: limit}
+}
+
+// SetLimit takes in a changed limit. What is held shrinks in proportion, so
+// that a lower limit holds at once.
+func (h *Holder) SetLimit(now time.Time, limit Limit) {
+	if limit == h.limit {
+		return
+	}
+	h.advance(now)
+	rate, burst := shrink(limit.Rate, h.limit.Rate), shrink(limit.Burst, h.limit.Burst)
+	h.bucket.resize(h.bucket.rate*rate, h.bucket.capacity*burst)
+	h.burst *= burst
+	h.limit = limit
+}
+
+// shrink returns the factor from an old to a lower new value; 1 otherwise.
+func shrink(now, before float64) float64 {
+	if before <= 0 || now >= before {
+		return 1
+	}
+	return now / before
+}
+
+// advance mints tokens and drops a share whose lease has run out.
+func (h *Holder) advance(now time.Time) {
+	if !now.Before(h.expires) {
+		h.bucket.resize(0, 0)
+		h.burst = 0
+	}
+	h.bucket.advance(now)
+}
+
+// Arrive counts a new request in the demand.
+func (h *Holder) Arrive(now time.Time) { h.demand.add(now) }
+
+// Take spends a token for a request, or says why there is none.
+func (h *Holder) Take(now time.Time) Verdict {
+	h.advance(now)
+	if h.bucket.take() {
+		return Admitted
+	}
+	if h.exhausted && now.Before(h.useless) {
+		return Exhausted
+	}
+	return Wait
+}
+
+// Due reports whether the holder should ask its owner now; waiting is the
+// number of requests that wait for a token.
+func (h *Holder) Due(now time.Time, waiting int) bool {
+	if h.pending {
+		return false
+	}
+	if h.recalled {
+		return true
+	}
+	if waiting > 0 {
+		return !now.Before(h.useless)
+	}
+	if !h.active(now) {
+		return false
+	}
+	if !now.Before(h.nextAsk) {
+		return true
+	}
+	h.advance(now)
+	low := min(h.keep, h.demand.rate*lowWater.Seconds())
+	return h.bucket.tokens < low && now.Sub(h.askedAt) >= askGap && !now.Before(h.useless)
+}
+
+// active reports whether the holder has anything to renew or to give back.
+func (h *Holder) active(now time.Time) bool {
+	return now.Before(h.expires) && (h.bucket.rate > 0 || h.bucket.capacity > 0)
+}
+
+// NextEvent returns when Due or Take may next change by time alone.
+func (h *Holder) NextEvent(now time.Time) time.Time {
+	next := h.nextAsk
+	if h.useless.After(now) && h.useless.Before(next) {
+		next = h.useless
+	}
+	if mint, ok := h.bucket.untilToken(); ok && now.Add(mint).Before(next) {
+		next = now.Add(mint)
+	}
+	return next
+}
+
+// Recall makes the holder ask at once and give back what it can spare.
+func (h *Holder) Recall() { h.recalled = true }
+
+// Ask gives back what is not needed and returns the message to the owner. The
+// answers to all earlier asks are void from now on.
+func (h *Holder) Ask(now time.Time, term uint64, waiting int) Ask {
+	h.advance(now)
+	h.demand.decay(now)
+	returned := h.giveBack(waiting)
+	h.number++
+	h.pending, h.recalled, h.askedAt = true, false, now
+	ask := Ask{
+		Organisation: h.organisation, Term: term, Number: h.number,
+		Held:     Share{Rate: h.bucket.rate, Burst: h.bucket.capacity},
+		Returned: returned, Demand: h.demand.rate, Limit: h.limit,
+	}
+	if waiting > 0 || h.demand.rate >= idleDemand {
+		ask.Want = max(0, float64(waiting)+h.keep-h.bucket.tokens)
+	}
+	return ask
+}
+
+// giveBack shrinks the share to what the last answer lets the holder keep and
+// returns the tokens that leave. The burst shrinks at least by the tokens that
+// leave, so that they are still counted as out while they are on their way.
+func (h *Holder) giveBack(waiting int) float64 {
+	if waiting == 0 && h.demand.rate < idleDemand {
+		returned := h.bucket.tokens
+		h.bucket.resize(0, 0)
+		return returned
+	}
+	keep := h.keep
+	if h.recalled {
+		keep = min(keep, h.demand.rate*recallKeep.Seconds())
+	}
+	burst := min(h.burst, h.bucket.capacity)
+	returned := max(0, h.bucket.tokens-min(burst, float64(waiting)+keep))
+	h.bucket.tokens -= returned
+	h.bucket.resize(h.bucket.rate, min(burst, h.bucket.capacity-returned))
+	return returned
+}
+
+// Release gives back everything; the message needs no answer.
+func (h *Holder) Release(now time.Time, term uint64) Ask {
+	h.demand.rate = 0
+	ask := h.Ask(now, term, 0)
+	h.pending = false
+	return ask
+}
+
+// Abandon voids the answer to an ask that was not answered in time. No ask is
+// sent before retry has passed.
+func (h *Holder) Abandon(now time.Time, number uint64, retry time.Duration) {
+	if number != h.number {
+		return
+	}
+	h.pending = false
+	h.exhausted = false
+	h.useless = now.Add(retry)
+	h.nextAsk = h.useless
+}
+
+// Apply takes in the answer to the last ask and reports whether it did.
+func (h *Holder) Apply(now time.Time, answer Answer) bool {
+	if !h.pending || answer.Number != h.number {
+		return false
+	}
+	h.pending = false
+	h.nextAsk = h.askedAt.Add(answer.Next)
+	h.useless = now.Add(answer.Wait)
+	h.exhausted = answer.Exhausted
+	h.advance(now)
+	expires := h.askedAt.Add(Lease)
+	if !now.Before(expires) {
+		return true
+	}
+	h.expires = expires
+	h.keep, h.burst = answer.Keep, answer.Share.Burst
+	rate := answer.Share.Rate * shrink(h.limit.Rate, answer.Limit.Rate)
+	factor := shrink(h.limit.Burst, answer.Limit.Burst)
+	h.bucket.resize(rate, max(h.bucket.capacity, answer.Share.Burst*factor))
+	h.bucket.tokens = min(h.bucket.capacity, h.bucket.tokens+answer.Tokens*factor)
+	return true
+}
--- /dev/null
+++ b/quota/owner.go
@@ -0,0 +1,274 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// headroom is how much more rate than its demand a holder gets.
+	headroom = 0.25
+	// ownerReserve is the part of the rate that the owner keeps to answer
+	// holders that run out.
+	ownerReserve = 0.05
+	// holdersBurst is the part of the burst that is spread over the holders;
+	// the rest stays with the owner.
+	holdersBurst = 0.5
+	// keepTime is the time's worth of demand that a holder keeps as tokens.
+	keepTime = 250 * time.Millisecond
+	// coverTime is the time's worth of demand that a holder's burst covers.
+	coverTime = time.Second
+	// askInterval is the time between a holder's asks; it grows with the
+	// number of holders by askIntervalPerHolder, up to a third of the lease.
+	askInterval          = 500 * time.Millisecond
+	askIntervalPerHolder = time.Millisecond
+	// emptyWait is when asking again is of use once the owner has run out.
+	emptyWait = 30 * time.Millisecond
+	// overload is the demand, as a multiple of the rate, above which requests
+	// are refused instead of waiting for recalled tokens.
+	overload = 1.2
+	// recallGap is the least time between two recalls of a holder, and
+	// recallFanout the number of holders recalled at once.
+	recallGap    = 100 * time.Millisecond
+	recallFanout = 4
+)
+
+// record is what the owner counts as out at one holder.
+type record struct {
+	id       HolderID
+	number   uint64
+	share    Share
+	demand   float64
+	expires  time.Time
+	recalled time.Time
+}
+
+// Owner leases shares of one organisation's limit. It is not safe for
+// concurrent use. It must be used only while it is fenced: from when its term
+// is accepted until this node is no longer fresh or knows of a later term.
+type Owner struct {
+	term    uint64
+	limit   Limit
+	bucket  bucket
+	holders map[HolderID]*record
+	// unknown is what an earlier owner may have leased and no holder has
+	// reported yet; it is counted as out until unknownUntil.
+	unknown      Share
+	unknownUntil time.Time
+}
+
+// NewOwner returns the owner of a term that begins now. The first owner that
+// an organisation ever had starts with a full bucket; any later one starts
+// with an empty one and counts the whole limit as out until it is reported or
+// must have expired.
+func NewOwner(now time.Time, term uint64, limit Limit, first bool) *Owner {
+	o := &Owner{term: term, limit: limit, holders: map[HolderID]*record{}, bucket: bucket{at: now}}
+	if first {
+		o.bucket.tokens = limit.Burst
+	} else {
+		o.unknown = Share(limit)
+		o.unknownUntil = now.Add(Lease + leaseMargin)
+	}
+	o.resize()
+	return o
+}
+
+// Term returns the owner's term.
+func (o *Owner) Term() uint64 { return o.term }
+
+// SetLimit takes in a changed limit.
+func (o *Owner) SetLimit(now time.Time, limit Limit) {
+	if limit == o.limit {
+		return
+	}
+	o.advance(now)
+	o.limit = limit
+	o.resize()
+}
+
+// out returns the sum of what is counted as out.
+func (o *Owner) out() Share {
+	sum := o.unknown
+	for _, r := range o.holders {
+		sum.Rate += r.share.Rate
+		sum.Burst += r.share.Burst
+	}
+	return sum
+}
+
+// free returns what is not out.
+func (o *Owner) free() Share {
+	out := o.out()
+	return Share{Rate: max(0, o.limit.Rate-out.Rate), Burst: max(0, o.limit.Burst-out.Burst)}
+}
+
+// resize gives the owner's own bucket what is not out.
+func (o *Owner) resize() {
+	free := o.free()
+	o.bucket.resize(free.Rate, free.Burst)
+}
+
+// advance mints tokens, then takes back what has expired.
+func (o *Owner) advance(now time.Time) {
+	o.bucket.advance(now)
+	for id, r := range o.holders {
+		if !now.Before(r.expires) {
+			delete(o.holders, id)
+		}
+	}
+	if !now.Before(o.unknownUntil) {
+		o.unknown = Share{}
+	}
+	o.resize()
+}
+
+// Handle answers an ask. It returns the holders to recall.
+func (o *Owner) Handle(now time.Time, from HolderID, ask Ask) (Answer, []HolderID, error) {
+	if ask.Term != o.term {
+		return Answer{}, nil, ErrTerm
+	}
+	if ask.Limit != o.limit {
+		return Answer{}, nil, ErrLimit
+	}
+	o.advance(now)
+	r, err := o.report(from, ask)
+	if err != nil {
+		return Answer{}, nil, err
+	}
+	if ask.Held == (Share{}) && ask.Want == 0 {
+		delete(o.holders, from)
+		return Answer{Term: o.term, Number: ask.Number, Limit: o.limit, Next: askInterval}, nil, nil
+	}
+	r.expires = now.Add(Lease + leaseMargin)
+	answer, unmet := o.grant(r, ask)
+	if unmet < 1 {
+		return answer, nil, nil
+	}
+	answer.Wait = emptyWait
+	if o.demand() > overload*o.limit.Rate {
+		answer.Exhausted = true
+		return answer, nil, nil
+	}
+	return answer, o.recall(now, from), nil
+}
+
+// report replaces what is counted as out at the holder by what it says that it
+// has, and takes in the tokens that it gives back. Tokens from a holder without
+// a record are dropped: nothing counted them as out on their way.
+func (o *Owner) report(from HolderID, ask Ask) (*record, error) {
+	r, known := o.holders[from]
+	switch {
+	case known && ask.Number <= r.number:
+		return nil, ErrOldAsk
+	case known:
+		r.share = ask.Held
+	default:
+		r = &record{id: from, share: o.adopt(ask.Held)}
+		o.holders[from] = r
+	}
+	r.number, r.demand = ask.Number, ask.Demand
+	o.resize()
+	if known {
+		o.bucket.tokens = min(o.bucket.capacity, o.bucket.tokens+ask.Returned)
+	}
+	return r, nil
+}
+
+// adopt moves a share that an earlier owner leased from unknown to known.
+// What is not covered by unknown has expired already.
+func (o *Owner) adopt(held Share) Share {
+	held.Rate = min(held.Rate, o.unknown.Rate)
+	held.Burst = min(held.Burst, o.unknown.Burst)
+	o.unknown.Rate -= held.Rate
+	o.unknown.Burst -= held.Burst
+	return held
+}
+
+// demand returns the sum of the holders' demand.
+func (o *Owner) demand() float64 {
+	sum := 0.0
+	for _, r := range o.holders {
+		sum += r.demand
+	}
+	return sum
+}
+
+// grant decides the holder's new share and tokens, and returns how many of the
+// tokens that it wants are missing.
+func (o *Owner) grant(r *record, ask Ask) (answer Answer, unmet float64) {
+	held, free := r.share, o.free()
+	target := o.target(r)
+	next := Share{
+		Rate:  approach(held.Rate, target.Rate, free.Rate),
+		Burst: approach(held.Burst, target.Burst, max(0, free.Burst-o.bucket.tokens)),
+	}
+	tokens := min(ask.Want, o.bucket.tokens)
+	next.Burst = max(next.Burst, held.Burst+tokens)
+	r.share = Share{Rate: max(held.Rate, next.Rate), Burst: max(held.Burst, next.Burst)}
+	o.bucket.tokens -= tokens
+	o.resize()
+	answer = Answer{
+		Term: o.term, Number: ask.Number, Share: next, Tokens: tokens, Limit: o.limit,
+		Keep: o.keep(r), Next: o.interval(),
+	}
+	return answer, ask.Want - tokens
+}
+
+// approach moves a held amount to its target: up as far as free allows, down
+// in steps of a half.
+func approach(held, target, free float64) float64 {
+	if target >= held {
+		return min(target, held+free)
+	}
+	const negligible = 0.01
+	if next := (held + target) / 2; next-target > negligible*(target+1) {
+		return next
+	}
+	return target
+}
+
+// target returns the share that the holder's part of the demand deserves.
+func (o *Owner) target(r *record) Share {
+	total := o.demand()
+	if total < idleDemand || r.demand < idleDemand {
+		return Share{}
+	}
+	part := r.demand / total
+	rate := min(r.demand*(1+headroom), part*o.limit.Rate*(1-ownerReserve))
+	burst := min(max(1, r.demand*coverTime.Seconds()), part*o.limit.Burst*holdersBurst)
+	if burst < 1 {
+		return Share{}
+	}
+	return Share{Rate: rate, Burst: burst}
+}
+
+// keep returns the number of tokens that the holder may keep unspent.
+func (o *Owner) keep(r *record) float64 {
+	return min(1+r.demand*keepTime.Seconds(), o.target(r).Burst)
+}
+
+// interval returns the time between two asks of a holder.
+func (o *Owner) interval() time.Duration {
+	grown := askInterval + time.Duration(len(o.holders))*askIntervalPerHolder
+	return min(grown, Lease/3)
+}
+
+// recall chooses the holders with the largest bursts to give back tokens.
+func (o *Owner) recall(now time.Time, except HolderID) []HolderID {
+	var chosen []*record
+	for id, r := range o.holders {
+		if id != except && r.share.Burst >= 1 && now.Sub(r.recalled) >= recallGap {
+			chosen = append(chosen, r)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(b.share.Burst, a.share.Burst), cmp.Compare(a.id.VM, b.id.VM))
+	})
+	var ids []HolderID
+	for _, r := range chosen[:min(len(chosen), recallFanout)] {
+		r.recalled = now
+		ids = append(ids, r.id)
+	}
+	return ids
+}
