Run requests that are not idempotent at most once

Cause: a request that is not idempotent ran again whenever its caller sent it again, and a lost connection between nodes left its outcome open.

Change: a request that is not idempotent is pinned to one node incarnation by a signed ID before it is sent. Callers get one from POST /.mangomast/ids, or in the answer's header. The pinned node's ledger runs an ID once, keeps the answer for those who ask again, joins concurrent sends, refuses another body, route or organisation under the same ID (422) and closes an ID that it refused. Dropped entries raise a floor of mint times, so an old ID is never run again. Only the pinned node's refusal counts as "not run" for a request that came with an ID; any other refusal of such a request is "unknown". Package client does what a caller must do.

Excluded: asking for an answer by a message of its own; sending the request to its pin again is as safe and needs no second way.

--- a/call/call.go
+++ b/call/call.go
@@ -55,6 +55,12 @@
 	CodeUpstreamFailed
 	CodeStoreUnavailable
 	CodeInternal
+	// CodePinLost means that the node that may have run the request is gone.
+	CodePinLost
+	// CodeIDExpired means that the request's ID is too old to tell.
+	CodeIDExpired
+	// CodeAnswerNotKept means that the request ran and its answer was dropped.
+	CodeAnswerNotKept
 )
 
 // CodeRetryBudget means that the request's retry budget is spent, or that the
@@ -87,6 +93,9 @@
 	CodeStoreUnavailable: {"store_unavailable", http.StatusServiceUnavailable},
 	CodeInternal:         {"internal", http.StatusInternalServerError},
 	CodeRetryBudget:      {"retry_budget", http.StatusServiceUnavailable},
+	CodePinLost:          {"pin_lost", http.StatusBadGateway},
+	CodeIDExpired:        {"id_expired", http.StatusGone},
+	CodeAnswerNotKept:    {"answer_not_kept", http.StatusGone},
 }
 
 // String returns the code's name in headers, logs and metrics.
@@ -177,6 +186,9 @@
 	Load Load `cbor:"9,keyasint"`
 	// Children is the number of calls that the upstream made for the request.
 	Children int `cbor:"30,keyasint,omitempty"`
+	// Settled means that the outcome of the request's ID is final: every
+	// further request with the ID gets the same reply and runs nothing.
+	Settled bool `cbor:"60,keyasint,omitempty"`
 }
 
 // Load is what a serving node says of itself on each reply.
--- a/cmd/mangomast-bench/standin.go
+++ b/cmd/mangomast-bench/standin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -33,6 +34,7 @@
 	Slots       int    `long:"slots" default:"10"`
 	Connections int    `long:"connections" default:"100"`
 	Behaviour   string `long:"behaviour" default:"{}" value-name:"JSON"`
+	Journal     string `long:"journal" value-name:"FILE" description:"append the test ID of each run to FILE"`
 }
 
 // Execute implements flags.Commander.
@@ -41,8 +43,12 @@
 	if err := json.Unmarshal([]byte(c.Behaviour), &behaviour); err != nil {
 		return errors.Wrap(err, "behaviour")
 	}
+	journal, err := c.openJournal()
+	if err != nil {
+		return err
+	}
 	upstream := standin.NewUpstream(standin.UpstreamOptions{
-		Slots: c.Slots, Egress: c.Egress, Behaviour: behaviour,
+		Slots: c.Slots, Egress: c.Egress, Behaviour: behaviour, Journal: journal,
 		Crash: func() { os.Exit(crashStatus) },
 	})
 	announcer := &standin.Announcer{
@@ -52,6 +58,14 @@
 	return serve(c.Listen, upstream)
 }
 
+func (c *upstreamCommand) openJournal() (io.Writer, error) {
+	if c.Journal == "" {
+		return io.Discard, nil
+	}
+	file, err := os.OpenFile(c.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return file, errors.Wrap(err, "open journal")
+}
+
 func serve(address string, handler http.Handler) error {
 	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	return server.ListenAndServe()
--- /dev/null
+++ b/internal/bench/atmostonce.go
@@ -0,0 +1,254 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/client"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+)
+
+func init() {
+	Register(Case{Name: "at-most-once", Help: "requests re-sent through random nodes amid kills, silence and a store outage run at most once", Run: runAtMostOnce})
+}
+
+const (
+	onceRequests    = 5000
+	onceControl     = 200
+	onceRate        = 250
+	onceMaxSends    = 5
+	onceMaxPause    = 400 * time.Millisecond
+	onceTryTimeout  = 4 * time.Second
+	onceAnswerBytes = 256
+)
+
+// onceFigures are the figures of one run of the at-most-once case.
+type onceFigures struct {
+	Requests int `json:"requests"`
+	Sends    int `json:"sends"`
+	// NoID counts requests that got no ID, so they were never sent.
+	NoID     int `json:"no_id"`
+	RunTwice int `json:"run_twice"`
+	// RefusedRan counts IDs that were refused as not run, and ran.
+	RefusedRan int `json:"refused_ran"`
+	// AnsweredNotRun counts IDs that were answered without a run.
+	AnsweredNotRun int     `json:"answered_not_run"`
+	WrongAnswers   int     `json:"wrong_answers"`
+	Answered       int     `json:"answered"`
+	Refused        int     `json:"refused"`
+	Unknown        int     `json:"unknown"`
+	DefiniteShare  float64 `json:"definite_share"`
+	Linearizable   bool    `json:"linearizable"`
+	Faults         int     `json:"faults"`
+}
+
+func (f *onceFigures) holds() bool {
+	return f.RunTwice == 0 && f.RefusedRan == 0 && f.AnsweredNotRun == 0 && f.WrongAnswers == 0 && f.Linearizable
+}
+
+func (f *onceFigures) cells(name string) []string {
+	return []string{
+		name, fmt.Sprint(f.Requests), fmt.Sprint(f.Sends), fmt.Sprint(f.Faults), fmt.Sprint(f.RunTwice),
+		fmt.Sprint(f.RefusedRan), fmt.Sprint(f.AnsweredNotRun), fmt.Sprint(f.WrongAnswers), fmt.Sprint(f.Linearizable),
+		fmt.Sprintf("%.2f %%", 100*f.DefiniteShare), fmt.Sprint(f.Answered), fmt.Sprint(f.Refused), fmt.Sprint(f.Unknown), fmt.Sprint(f.NoID),
+	}
+}
+
+func runAtMostOnce(ctx context.Context, env *Env) (*Report, error) {
+	off, err := onceRun(ctx, env, onceControl, true)
+	if err != nil {
+		return nil, err
+	}
+	requests := onceRequests
+	if env.Duration > 0 {
+		requests = int(env.Duration.Seconds() * onceRate)
+	}
+	on, err := onceRun(ctx, env, requests, false)
+	if err != nil {
+		return nil, err
+	}
+	return &Report{
+		// The run without the ledger shows that the case would find a fault.
+		Holds:   on.holds() && off.RunTwice > 0,
+		Figures: on,
+		Header: []string{
+			"ledger", "requests", "sends", "faults", "run twice", "refused but ran", "answered, not run", "wrong",
+			"linearizable", "definite", "answered", "refused", "unknown", "no id",
+		},
+		Rows: [][]string{off.cells("off"), on.cells("on")},
+	}, nil
+}
+
+// onceRun sends the requests to a fleet of its own.
+func onceRun(ctx context.Context, env *Env, requests int, ledgerOff bool) (*onceFigures, error) {
+	doc := &config.Document{}
+	keys := NewOrganisations(doc, 1, 100_000, 100_000)
+	AddService(doc, "fares", func(r *config.Route) { r.Idempotent = false })
+	AddService(doc, "other", nil)
+	nodes := append(Spread("fares", 4, 40, standin.Behaviour{WorkMicros: 5000, Jitter: 1}), Spread("other", 2, 10, standin.Behaviour{})...)
+	if ledgerOff {
+		for i := range nodes {
+			nodes[i].Modules = map[string]json.RawMessage{"inbound": json.RawMessage(`{"ledger": {"disabled": true}}`)}
+		}
+	}
+	AddDomains(doc, nodes)
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	run := &onceExperiment{fleet: fleet, random: rand.New(rand.NewPCG(env.Seed, 1)), faultRandom: rand.New(rand.NewPCG(env.Seed, 3))}
+	addresses := make([]string, 0, len(fleet.Nodes))
+	for _, node := range fleet.Nodes {
+		addresses = append(addresses, node.CallersProxy)
+	}
+	run.client = client.New(client.Options{Addresses: addresses, Key: keys[0].Secret, TryTimeout: onceTryTimeout})
+	return run.execute(ctx, requests)
+}
+
+// onceExperiment is one run of the at-most-once case.
+type onceExperiment struct {
+	fleet  *rig.Rig
+	client *client.Client
+	random *rand.Rand
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	history []onceSend
+	noID    int
+	// faultRandom chooses the faults.
+	faultRandom *rand.Rand
+}
+
+// onceSend is one send of a request and its outcome.
+type onceSend struct {
+	number        int
+	called, ended int64
+	outcome       call.Outcome
+	wrong         bool
+}
+
+func (e *onceExperiment) execute(ctx context.Context, requests int) (*onceFigures, error) {
+	chaosCtx, stop := context.WithCancel(ctx)
+	faults := make(chan int, 1)
+	go func() { faults <- e.injectFaults(chaosCtx) }()
+	var group sync.WaitGroup
+	for number := range requests {
+		seed := e.random.Uint64()
+		group.Go(func() { e.request(ctx, number, rand.New(rand.NewPCG(seed, 2))) })
+		time.Sleep(time.Second / onceRate)
+	}
+	group.Wait()
+	stop()
+	injected := <-faults
+	runs, err := e.fleet.Runs()
+	if err != nil {
+		return nil, err
+	}
+	figures := e.figures(requests, runs)
+	figures.Faults = injected
+	return figures, nil
+}
+
+func onceTestID(number int) string { return fmt.Sprintf("once-%d", number) }
+
+// request gets an ID and sends the request under it, several times at once or
+// one after the other, until five sends are used or the outcome is definite.
+func (e *onceExperiment) request(ctx context.Context, number int, random *rand.Rand) {
+	req := &client.Request{Method: http.MethodPost, Target: fmt.Sprintf("/fares/charge?bytes=%d", onceAnswerBytes), Header: http.Header{}}
+	req.Header.Set(standin.HeaderTestID, onceTestID(number))
+	req.Body = []byte(onceTestID(number))
+	id := e.newID(ctx, req, random)
+	if id == "" {
+		e.mu.Lock()
+		e.noID++
+		e.mu.Unlock()
+		return
+	}
+	together := 1 + random.IntN(3)
+	var group sync.WaitGroup
+	for range together {
+		wait := time.Duration(random.Int64N(int64(onceMaxPause)))
+		group.Go(func() {
+			time.Sleep(wait)
+			e.send(ctx, req, id, number)
+		})
+	}
+	group.Wait()
+	for range onceMaxSends - together {
+		time.Sleep(time.Duration(random.Int64N(int64(onceMaxPause))))
+		if e.send(ctx, req, id, number) != call.Unknown {
+			return
+		}
+	}
+}
+
+func (e *onceExperiment) newID(ctx context.Context, req *client.Request, random *rand.Rand) string {
+	const attempts = 5
+	for range attempts {
+		id, refusal, err := e.client.NewID(ctx, req)
+		if err == nil && refusal == nil {
+			return id
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(onceMaxPause))))
+	}
+	return ""
+}
+
+func (e *onceExperiment) send(ctx context.Context, req *client.Request, id string, number int) call.Outcome {
+	called := time.Now().UnixNano()
+	resp, err := e.client.Send(ctx, req, id)
+	sent := onceSend{number: number, called: called, ended: time.Now().UnixNano(), outcome: call.Unknown}
+	if err == nil {
+		sent.outcome = resp.Outcome
+		sent.wrong = resp.Outcome == call.Answered && !bytes.Equal(resp.Body, standin.Payload(onceTestID(number), onceAnswerBytes))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.history = append(e.history, sent)
+	return sent.outcome
+}
+
+// figures counts the outcomes of each request against its runs.
+func (e *onceExperiment) figures(requests int, runs map[string]int) *onceFigures {
+	answered, refused := map[int]bool{}, map[int]bool{}
+	f := &onceFigures{Requests: requests, Sends: len(e.history), NoID: e.noID}
+	for _, sent := range e.history {
+		answered[sent.number] = answered[sent.number] || sent.outcome == call.Answered
+		refused[sent.number] = refused[sent.number] || sent.outcome == call.Refused
+		if sent.wrong {
+			f.WrongAnswers++
+		}
+	}
+	for number := range requests {
+		ran := runs[onceTestID(number)]
+		if ran > 1 {
+			f.RunTwice++
+		}
+		if refused[number] && ran > 0 {
+			f.RefusedRan++
+		}
+		if answered[number] && ran == 0 {
+			f.AnsweredNotRun++
+		}
+		switch {
+		case answered[number]:
+			f.Answered++
+		case refused[number]:
+			f.Refused++
+		}
+	}
+	f.Unknown = requests - f.NoID - f.Answered - f.Refused
+	f.DefiniteShare = float64(f.Answered+f.Refused) / float64(max(1, requests-f.NoID))
+	f.Linearizable = linearizable(e.history, requests, runs)
+	return f
+}
--- /dev/null
+++ b/internal/bench/oncefaults.go
@@ -0,0 +1,72 @@
+package bench
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+)
+
+const (
+	faultPause   = 900 * time.Millisecond
+	restartDelay = 300 * time.Millisecond
+	outageLength = 2 * time.Second
+	silentShare  = 3
+)
+
+// injectFaults kills nodes and upstreams, silences connections and stops the
+// store, one fault after the other, until the context ends. It returns the
+// number of faults; everything runs again when it returns.
+func (e *onceExperiment) injectFaults(ctx context.Context) int {
+	faults := []func(context.Context){e.killUpstream, e.silence, e.killNode, e.stopStore}
+	count := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return count
+		case <-time.After(faultPause):
+		}
+		faults[count%len(faults)](ctx)
+		count++
+	}
+}
+
+func (e *onceExperiment) victim() *rig.Node {
+	return e.fleet.Nodes[e.choose(len(e.fleet.Nodes))]
+}
+
+func (e *onceExperiment) choose(n int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faultRandom.IntN(n)
+}
+
+func (e *onceExperiment) killNode(context.Context) {
+	node := e.victim()
+	node.Process.Kill()
+	time.Sleep(restartDelay)
+	_ = e.fleet.StartNode(node)
+}
+
+func (e *onceExperiment) killUpstream(context.Context) {
+	node := e.victim()
+	node.Upstream.Kill()
+	time.Sleep(restartDelay)
+	_ = e.fleet.StartUpstream(node)
+}
+
+func (e *onceExperiment) silence(context.Context) {
+	e.fleet.Network.Silence(func(_, listener string) bool {
+		return strings.HasSuffix(listener, "/mesh") && e.choose(silentShare) == 0
+	})
+}
+
+func (e *onceExperiment) stopStore(ctx context.Context) {
+	// A cancelled context must not leave the store out.
+	ctx = context.WithoutCancel(ctx)
+	_ = e.fleet.SetStoreFaults(ctx, standin.Faults{Outage: true})
+	time.Sleep(outageLength)
+	_ = e.fleet.SetStoreFaults(ctx, standin.Faults{})
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -225,7 +225,8 @@
 	p, err := startProcess(r.dir, node.Spec.VM+"-upstream", r.bench(), "standin-upstream",
 		"--listen", node.UpstreamAddress, "--egress", "http://"+node.Egress,
 		"--service", node.Spec.Service, "--slots", strconv.Itoa(node.Spec.Slots),
-		"--connections", strconv.Itoa(node.Spec.Connections), "--behaviour", string(behaviour))
+		"--connections", strconv.Itoa(node.Spec.Connections), "--behaviour", string(behaviour),
+		"--journal", r.journalFile(node))
 	node.Upstream = p
 	return err
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -73,6 +73,9 @@
 	// Egress is the base URL of the node's loopback listener.
 	Egress    string
 	Behaviour Behaviour
+	// Journal gets a line with the test ID of each run before it starts; it
+	// outlives the upstream. It may be nil.
+	Journal io.Writer
 	// Crash is called for a request with crash=1 in its query.
 	Crash func()
 }
@@ -83,6 +86,8 @@
 	egress string
 	crash  func()
 	client *http.Client
+	// journal is guarded by mu.
+	journal io.Writer
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -95,6 +100,7 @@
 		slots:     make(chan struct{}, opts.Slots),
 		egress:    opts.Egress,
 		crash:     opts.Crash,
+		journal:   opts.Journal,
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opts.Slots}},
 		behaviour: opts.Behaviour,
 		report:    Report{Runs: map[string]int{}, BusyByID: map[string]int64{}, Organisations: map[string]int{}},
@@ -169,6 +175,7 @@
 	u.report.Organisations[r.Header.Get(call.HeaderOrganisation)]++
 	if id := r.Header.Get(HeaderTestID); id != "" {
 		u.report.Runs[id]++
+		u.record(id)
 	}
 	if seen {
 		u.report.KeysSeen++
@@ -176,6 +183,12 @@
 	return u.behaviour
 }
 
+func (u *Upstream) record(id string) {
+	if u.journal != nil {
+		_, _ = io.WriteString(u.journal, id+"\n")
+	}
+}
+
 // holdsKey looks for a caller's key in the whole request.
 func holdsKey(r *http.Request, body []byte) bool {
 	if strings.Contains(r.URL.String(), config.KeyPrefix) || bytes.Contains(body, []byte(config.KeyPrefix)) {
--- /dev/null
+++ b/ledger/fingerprint.go
@@ -0,0 +1,26 @@
+package ledger
+
+import (
+	"encoding/binary"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+// Fingerprint names the contents of a request: two requests with the same one
+// ask for the same thing on behalf of the same organisation.
+type Fingerprint [16]byte
+
+// FingerprintOf hashes the organisation, route, method, target and body.
+func FingerprintOf(head *call.Head, body []byte) Fingerprint {
+	hash := xxh3.New()
+	for _, part := range []string{head.Organisation, head.Route, head.Method, head.Target} {
+		var length [4]byte
+		binary.BigEndian.PutUint32(length[:], uint32(len(part)))
+		_, _ = hash.Write(length[:])
+		_, _ = hash.WriteString(part)
+	}
+	_, _ = hash.Write(body)
+	return hash.Sum128().Bytes()
+}
--- /dev/null
+++ b/ledger/id.go
@@ -0,0 +1,134 @@
+package ledger
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/call"
+)
+
+const (
+	nonceBytes = 12
+	macBytes   = 16
+	// maxIDText bounds the text of an ID, before it is decoded.
+	maxIDText = 256
+	macLabel  = "mangomast request id"
+)
+
+var (
+	// ErrMalformed means that the text is not a request ID.
+	ErrMalformed = errors.New("not a request id of this service")
+	// ErrForeign means that the ID was minted for another organisation or
+	// route, or by another fleet.
+	ErrForeign = errors.New("the request id was minted for another organisation or route")
+)
+
+// ID is what the text of a request ID says.
+type ID struct {
+	_     struct{} `cbor:",toarray"`
+	Nonce []byte
+	// VM and Incarnation are the pin.
+	VM          string
+	Incarnation uint64
+	// MintedMillis is the wall clock of the node that minted the ID, in
+	// milliseconds since 1970.
+	MintedMillis int64
+}
+
+// Pin returns the node incarnation that may run the request.
+func (id ID) Pin() call.Pin { return call.Pin{VM: id.VM, Incarnation: id.Incarnation} }
+
+// Minted returns when the ID was minted.
+func (id ID) Minted() time.Time { return time.UnixMilli(id.MintedMillis) }
+
+// Scope is what an ID is minted for. It is covered by the signature.
+type Scope struct {
+	Organisation string
+	Route        string
+}
+
+// Signer mints and verifies the text of request IDs. It is safe for
+// concurrent use.
+type Signer struct {
+	secret []byte
+}
+
+// NewSigner returns a signer that shares its secret with the whole fleet.
+func NewSigner(secret string) *Signer { return &Signer{secret: []byte(secret)} }
+
+// NewNonce returns the random part of an ID.
+func NewNonce() []byte {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce)
+	return nonce
+}
+
+// Mint returns the text of an ID for a request that only the pin may run.
+func (s *Signer) Mint(scope Scope, pin call.Pin, nonce []byte, now time.Time) (string, error) {
+	id := ID{Nonce: nonce, VM: pin.VM, Incarnation: pin.Incarnation, MintedMillis: now.UnixMilli()}
+	payload, err := cbor.Marshal(id)
+	if err != nil {
+		return "", errors.Wrap(err, "encode request id")
+	}
+	signed := append(s.mac(scope, payload), payload...)
+	return base64.RawURLEncoding.EncodeToString(signed), nil
+}
+
+// Verify checks an ID that came with a request of the scope. The error is
+// ErrMalformed or ErrForeign.
+func (s *Signer) Verify(scope Scope, text string) (ID, error) {
+	mac, payload, err := split(text)
+	if err != nil {
+		return ID{}, err
+	}
+	if !hmac.Equal(mac, s.mac(scope, payload)) {
+		return ID{}, ErrForeign
+	}
+	return decodeID(payload)
+}
+
+// ParseID reads an ID whose signature was checked by the sending node.
+func ParseID(text string) (ID, error) {
+	_, payload, err := split(text)
+	if err != nil {
+		return ID{}, err
+	}
+	return decodeID(payload)
+}
+
+func split(text string) (mac, payload []byte, err error) {
+	if len(text) > maxIDText {
+		return nil, nil, ErrMalformed
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(raw) <= macBytes {
+		return nil, nil, ErrMalformed
+	}
+	return raw[:macBytes], raw[macBytes:], nil
+}
+
+func decodeID(payload []byte) (ID, error) {
+	var id ID
+	if err := cbor.Unmarshal(payload, &id); err != nil || id.VM == "" {
+		return ID{}, ErrMalformed
+	}
+	return id, nil
+}
+
+// mac covers the scope's parts with their lengths, so that no two scopes read
+// the same.
+func (s *Signer) mac(scope Scope, payload []byte) []byte {
+	hash := hmac.New(sha256.New, s.secret)
+	for _, part := range []string{macLabel, scope.Organisation, scope.Route} {
+		_, _ = hash.Write([]byte{byte(len(part) >> 8), byte(len(part))})
+		_, _ = hash.Write([]byte(part))
+	}
+	_, _ = hash.Write(payload)
+	return hash.Sum(nil)[:macBytes]
+}
--- a/plugin/dispatch/dispatch.go
+++ b/plugin/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/ledger"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
 	"github.com/mangomast/mangomast/plugin/inbound"
@@ -38,6 +39,9 @@
 // nil, must be closed; a read error means that it did not arrive whole.
 type Dispatcher interface {
 	Dispatch(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser)
+	// Pin chooses the VM that alone may run the request and sets the head's
+	// ID and Pin. It returns a refusal if no VM takes work for the service.
+	Pin(head *call.Head) *call.Reply
 }
 
 // Module implements Dispatcher over the mesh.
@@ -50,6 +54,7 @@
 	picker  routing.Picker
 	retries *retryplugin.Module
 	leaves  leaves
+	signer  *ledger.Signer
 }
 
 var (
@@ -73,6 +78,7 @@
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
+	m.signer = ledger.NewSigner(ctx.Node.FleetSecret)
 	m.picker = &routing.Near{FailureDomain: ctx.Node.FailureDomain, Region: ctx.Node.Region}
 	kernel.Provide[Dispatcher](ctx, m)
 	return nil
@@ -88,7 +94,13 @@
 		deadline: m.clock.Now().Add(head.Timeout),
 		budget:   retry.NewBudget(head.RetryBudget),
 	}
-	reply, answer := d.run(ctx)
+	run := d.run
+	if !head.Idempotent {
+		pinned := &pinnedDispatch{dispatch: d, resent: !head.Pin.IsZero()}
+		defer func() { head.ID, head.Root, head.Pin = d.head.ID, d.head.Root, d.head.Pin }()
+		run = pinned.run
+	}
+	reply, answer := run(ctx)
 	reply.RetriesUsed = d.budget.Seal()
 	if reply.Outcome == call.Refused && reply.RetryAfter == 0 {
 		reply.RetryAfter = m.retries.Delay()
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -38,12 +38,16 @@
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
 		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID},
-		New:   func() kernel.Module { return &Module{} },
+		New:   func() kernel.Module { return &Module{Ledger: defaultLedgerSettings()} },
 	})
 }
 
 // Module serves requests on the local upstream.
 type Module struct {
+	// Ledger bounds what is remembered of requests that run at most once.
+	Ledger LedgerSettings `json:"ledger"`
+
+	once     *once
 	clock    clockwork.Clock
 	log      log.Interface
 	running  *call.Registry
@@ -77,6 +81,7 @@
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.running = call.NewRegistry()
+	m.once = newOnce(m, fabric.Self(), ctx.Registry)
 	m.upstream = &upstreamState{
 		clock: ctx.Clock, log: ctx.Log, announcer: announcer,
 		static: ctx.Node.Upstream, changed: m.rebuild,
--- a/plugin/inbound/serve.go
+++ b/plugin/inbound/serve.go
@@ -14,10 +14,8 @@
 	"github.com/mangomast/mangomast/membership"
 )
 
-// Serve runs a request on the local upstream. The context bounds waiting and
-// running; the body, which may be nil, must be closed. It is safe for
-// concurrent use and blocks until the upstream has answered.
-func (m *Module) Serve(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
+// serve admits and runs a request on the local upstream.
+func (m *Module) serve(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
 	s := m.serving.Load()
 	upstream, state := m.upstream.current()
 	switch {
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/mangomast/mangomast/internal/httpcall"
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/ledger"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	"github.com/mangomast/mangomast/plugin/dispatch"
 	retryplugin "github.com/mangomast/mangomast/plugin/retry"
@@ -43,6 +44,7 @@
 	dispatcher dispatch.Dispatcher
 	retries    *retryplugin.Module
 	metrics    *metrics
+	signer     *ledger.Signer
 	server     *httpserver.Server
 }
 
@@ -67,7 +69,9 @@
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
+	m.signer = ledger.NewSigner(ctx.Node.FleetSecret)
 	e := echo.New()
+	e.POST(PathIDs, m.serveID)
 	e.Any("/*", m.serve)
 	m.server = httpserver.New(ctx.Node.Listen.Callers, e)
 	return nil
@@ -94,6 +98,8 @@
 	route    *config.Route
 	key      *config.Key
 	head     *call.Head
+	// resent requests came with a request ID, so they may have run before.
+	resent bool
 }
 
 func (m *Module) serve(c echo.Context) error {
@@ -110,19 +116,21 @@
 	checks := []func(*http.Request, *request) *call.Reply{
 		m.authenticate,
 		m.match,
+		m.identify,
 	}
+	req.resent = r.Header.Get(call.HeaderRequestID) != ""
 	for _, check := range checks {
 		if refusal := check(r, req); refusal != nil {
-			return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
+			return writeReply(c, req, refusal, nil)
 		}
 	}
 	body, refusal := httpcall.ReadBody(c, req.route.MaxRequestBytes)
 	if refusal != nil {
-		return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
+		return writeReply(c, req, refusal, nil)
 	}
 	fillHead(r, req)
 	reply, answer := m.dispatchCounted(r, req, body)
-	return reply, httpcall.WriteReply(c, req.head.ID, reply, answer, req.route.MaxAnswerBytes)
+	return writeReply(c, req, reply, answer)
 }
 
 // authenticate takes the key off the request and finds its organisation.
