Stop a node without cutting or failing a request

Cause: a stopping node closed idle callers' connections under their next request, announced its leaving only after its callers were done, did not count queued requests, and ended its connections with frames still in the ring. An upstream that went on announcing itself made a stopped node ready again.

Change: Leave is called on every module before the first Drain. The ingress answers with Connection: close and waits for its callers to close, 3 s at most; the inbound side refuses new work at once, waits for all that waits or runs and at least 2 s for the news to spread, announces that it is gone; the mesh writes out what is queued. The client package avoids a node that closed its connection for 15 s.

Excluded: closing the callers' listener first; its backlog is reset, which fails requests of new connections.

--- a/client/client.go
+++ b/client/client.go
@@ -27,10 +27,12 @@
 	defaultTryTimeout = 10 * time.Second
 	minPause          = 50 * time.Millisecond
 	maxPause          = 1 * time.Second
-	// avoidFor is how long a node that failed or is leaving is avoided.
-	avoidFor = 3 * time.Second
-	idsPath  = "/.mangomast/ids"
-	maxIDs   = 4 << 10
+	// avoidFailed and avoidLeaving are how long a node is avoided that failed,
+	// or that closed the connection as a node does that is leaving.
+	avoidFailed  = 2 * time.Second
+	avoidLeaving = 15 * time.Second
+	idsPath      = "/.mangomast/ids"
+	maxIDs       = 4 << 10
 )
 
 // Options are the inputs of New.
@@ -219,12 +221,12 @@
 	req.Header.Set("Authorization", "Bearer "+c.opts.Key)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		c.avoid(address)
+		c.avoid(address, avoidFailed)
 		return nil, err
 	}
 	defer resp.Body.Close()
 	if resp.Close {
-		c.avoid(address)
+		c.avoid(address, avoidLeaving)
 	}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
@@ -253,10 +255,10 @@
 	return usable[rand.IntN(len(usable))]
 }
 
-func (c *Client) avoid(address string) {
+func (c *Client) avoid(address string, length time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.avoided[address] = time.Now().Add(avoidFor)
+	c.avoided[address] = time.Now().Add(length)
 }
 
 // pause waits for the time that the last answer named, or a growing random
--- a/cmd/mangomast-bench/standin.go
+++ b/cmd/mangomast-bench/standin.go
@@ -47,13 +47,14 @@
 	if err != nil {
 		return err
 	}
+	announcer := &standin.Announcer{
+		Egress: c.Egress, Service: c.Service, Address: c.Listen, Slots: c.Slots, Connections: c.Connections,
+	}
 	upstream := standin.NewUpstream(standin.UpstreamOptions{
 		Slots: c.Slots, Egress: c.Egress, Behaviour: behaviour, Journal: journal,
+		Leave: func() { _ = announcer.Leave(context.Background()) },
 		Crash: func() { os.Exit(crashStatus) },
 	})
-	announcer := &standin.Announcer{
-		Egress: c.Egress, Service: c.Service, Address: c.Listen, Slots: c.Slots, Connections: c.Connections,
-	}
 	go func() { _ = announcer.Run(context.Background()) }()
 	return serve(c.Listen, upstream)
 }
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -259,6 +259,11 @@
 	return postJSON(ctx, "http://"+node.UpstreamAddress+standin.PathBehaviour, b)
 }
 
+// LeaveUpstream makes a node's upstream announce that it is leaving.
+func (r *Rig) LeaveUpstream(ctx context.Context, node *Node) error {
+	return postJSON(ctx, "http://"+node.UpstreamAddress+standin.PathLeave, nil)
+}
+
 // Report returns what a node's upstream has seen since it was started.
 func (r *Rig) Report(ctx context.Context, node *Node) (standin.Report, error) {
 	var report standin.Report
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -19,10 +19,12 @@
 	"github.com/mangomast/mangomast/config"
 )
 
-// PathReport reads an upstream's Report; PathBehaviour sets its Behaviour.
+// PathReport reads an upstream's Report; PathBehaviour sets its Behaviour;
+// PathLeave makes it announce that it is leaving.
 const (
 	PathReport    = "/standin/report"
 	PathBehaviour = "/standin/behaviour"
+	PathLeave     = "/standin/leave"
 )
 
 // HeaderTestID names a request in the upstream's report.
@@ -76,6 +78,8 @@
 	// Journal gets a line with the test ID of each run before it starts; it
 	// outlives the upstream. It may be nil.
 	Journal io.Writer
+	// Leave is called for PathLeave.
+	Leave func()
 	// Crash is called for a request with crash=1 in its query.
 	Crash func()
 }
@@ -85,6 +89,7 @@
 	slots  chan struct{}
 	egress string
 	crash  func()
+	leave  func()
 	client *http.Client
 	// journal is guarded by mu.
 	journal io.Writer
@@ -100,6 +105,7 @@
 		slots:     make(chan struct{}, opts.Slots),
 		egress:    opts.Egress,
 		crash:     opts.Crash,
+		leave:     opts.Leave,
 		journal:   opts.Journal,
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opts.Slots}},
 		behaviour: opts.Behaviour,
@@ -117,6 +123,8 @@
 		writeJSON(w, u.report)
 	case PathBehaviour:
 		u.serveBehaviour(w, r)
+	case PathLeave:
+		u.leave()
 	default:
 		u.serveWork(w, r)
 	}
@@ -294,6 +302,16 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Leaving     bool   `json:"leaving"`
+
+	mu sync.Mutex
+}
+
+// Leave announces that the upstream takes no new work.
+func (a *Announcer) Leave(ctx context.Context) error {
+	a.mu.Lock()
+	a.Leaving = true
+	a.mu.Unlock()
+	return a.Announce(ctx)
 }
 
 const announceInterval = 500 * time.Millisecond
@@ -312,7 +330,9 @@
 
 // Announce posts one announcement.
 func (a *Announcer) Announce(ctx context.Context) error {
+	a.mu.Lock()
 	data, err := json.Marshal(a)
+	a.mu.Unlock()
 	if err != nil {
 		return errors.Wrap(err, "encode announcement")
 	}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -169,6 +169,11 @@
 func (k *Kernel) drain() {
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
+	for _, m := range k.modules {
+		if l, ok := m.module.(Leaver); ok {
+			l.Leave()
+		}
+	}
 	for i := len(k.modules) - 1; i >= 0; i-- {
 		d, ok := k.modules[i].module.(Drainer)
 		if !ok {
--- a/kernel/module.go
+++ b/kernel/module.go
@@ -4,8 +4,8 @@
 // A module registers itself in init under an ID. The kernel creates the
 // registered modules in the order of their dependencies, decodes each one's
 // part of the settings, and calls the lifecycle interfaces that it implements:
-// Provision, Validate, Start, then one goroutine for each Actor, and Drain
-// when the node is told to stop.
+// Provision, Validate, Start, then one goroutine for each Actor, and Leave and
+// Drain when the node is told to stop.
 package kernel
 
 import (
@@ -63,6 +63,13 @@
 	Actors() []Actor
 }
 
+// Leaver is implemented by modules that tell others of a planned stop. Leave
+// is called on every module, in the order of provisioning, before the first
+// Drain; it must not block.
+type Leaver interface {
+	Leave()
+}
+
 // Drainer is implemented by modules that finish work before the node stops.
 // Drain is called in the order of provisioning reversed, while all actors
 // still run; it returns when the module holds no more work or the context ends.
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -13,10 +13,10 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
-	"github.com/pkg/errors"
 
 	"github.com/mangomast/mangomast/admission"
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
@@ -38,7 +38,9 @@
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
 		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID},
-		New:   func() kernel.Module { return &Module{Ledger: defaultLedgerSettings()} },
+		New: func() kernel.Module {
+			return &Module{Ledger: defaultLedgerSettings(), LeaveDelay: jsonc.Duration(defaultLeaveDelay)}
+		},
 	})
 }
 
@@ -47,7 +49,14 @@
 	// Ledger bounds what is remembered of requests that run at most once.
 	Ledger LedgerSettings `json:"ledger"`
 
-	once     *once
+	// LeaveDelay is the least time between the announcement of a planned stop
+	// and the end of the node's connections.
+	LeaveDelay jsonc.Duration `json:"leave_delay"`
+
+	once *once
+	// active counts the requests that wait or run here.
+	active   atomic.Int64
+	leftAt   atomic.Pointer[time.Time]
 	clock    clockwork.Clock
 	log      log.Interface
 	running  *call.Registry
@@ -66,6 +75,7 @@
 var (
 	_ kernel.Module      = (*Module)(nil)
 	_ kernel.ActorSource = (*Module)(nil)
+	_ kernel.Leaver      = (*Module)(nil)
 	_ kernel.Drainer     = (*Module)(nil)
 )
 
@@ -117,20 +127,6 @@
 	return []kernel.Actor{{Name: "watch upstream", Run: m.upstream.watch}}
 }
 
-// Drain implements kernel.Drainer: it refuses new work and waits for what runs.
-func (m *Module) Drain(ctx context.Context) error {
-	const poll = 20 * time.Millisecond
-	m.upstream.leave()
-	for m.running.Len() > 0 {
-		select {
-		case <-ctx.Done():
-			return errors.Errorf("%d requests still run", m.running.Len())
-		case <-m.clock.After(poll):
-		}
-	}
-	return nil
-}
-
 // RegisterLoopback adds the upstream's own calls to the loopback listener.
 func (m *Module) RegisterLoopback(e *echo.Echo) {
 	e.POST("/.mangomast/announce", m.upstream.serveAnnounce)
--- a/plugin/inbound/ledger.go
+++ b/plugin/inbound/ledger.go
@@ -84,7 +84,7 @@
 // upstream has answered.
 func (m *Module) Serve(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
 	if head.Pin.IsZero() || m.Ledger.Disabled {
-		return m.serve(ctx, head, body)
+		return m.admit(ctx, head, body)
 	}
 	return m.once.serve(ctx, head, body)
 }
@@ -128,7 +128,7 @@
 
 // run runs the request and records its answer.
 func (o *once) run(ctx context.Context, f *flight, head *call.Head, body []byte) {
-	reply, answer := o.module.serve(ctx, head, body)
+	reply, answer := o.module.admit(ctx, head, body)
 	kept, rest := o.keep(reply, answer)
 	o.mu.Lock()
 	o.ledger.Finish(head.ID, kept)
--- a/plugin/inbound/upstream.go
+++ b/plugin/inbound/upstream.go
@@ -80,7 +80,8 @@
 // node never goes back.
 func (u *upstreamState) set(upstream settings.Upstream, state membership.State, expires time.Time) {
 	u.mu.Lock()
-	if u.state == membership.Leaving && state != membership.Gone && u.expires.IsZero() {
+	leftForGood := u.state == membership.Gone || (u.state == membership.Leaving && u.expires.IsZero())
+	if leftForGood && state != membership.Gone {
 		u.mu.Unlock()
 		return
 	}
@@ -106,6 +107,12 @@
 	u.set(upstream, membership.Leaving, time.Time{})
 }
 
+// gone marks the node as stopped.
+func (u *upstreamState) gone() {
+	upstream, _ := u.current()
+	u.set(upstream, membership.Gone, time.Time{})
+}
+
 // watch probes an upstream from the settings, or lets announcements run out.
 func (u *upstreamState) watch(ctx context.Context) error {
 	if u.static.Service == "" {
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/internal/httpcall"
 	"github.com/mangomast/mangomast/internal/httpserver"
+	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/ledger"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
@@ -32,12 +33,16 @@
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
 		Needs: []kernel.ID{configplugin.ID, dispatch.ID, retryplugin.ID},
-		New:   func() kernel.Module { return &Module{} },
+		New:   func() kernel.Module { return &Module{LeaveGrace: jsonc.Duration(defaultLeaveGrace)} },
 	})
 }
 
 // Module is the listener for callers.
 type Module struct {
+	// LeaveGrace is how long callers with open connections are still served
+	// and told to go elsewhere, before a planned stop closes the connections.
+	LeaveGrace jsonc.Duration `json:"leave_grace"`
+
 	clock      clockwork.Clock
 	log        log.Interface
 	config     config.Source
@@ -52,6 +57,7 @@
 	_ kernel.Module      = (*Module)(nil)
 	_ kernel.Starter     = (*Module)(nil)
 	_ kernel.ActorSource = (*Module)(nil)
+	_ kernel.Leaver      = (*Module)(nil)
 	_ kernel.Drainer     = (*Module)(nil)
 )
 
@@ -85,12 +91,6 @@
 	return []kernel.Actor{{Name: "serve", Run: m.server.Run}}
 }
 
-// Drain implements kernel.Drainer: it finishes the callers' requests.
-func (m *Module) Drain(ctx context.Context) error {
-	m.server.RefuseKeepAlive()
-	return m.server.Shutdown(ctx)
-}
-
 // request is one caller's request on its way through the checks.
 type request struct {
 	started  time.Time
--- a/plugin/mesh/mesh.go
+++ b/plugin/mesh/mesh.go
@@ -28,6 +28,7 @@
 	_ kernel.Module      = (*Module)(nil)
 	_ kernel.Starter     = (*Module)(nil)
 	_ kernel.ActorSource = (*Module)(nil)
+	_ kernel.Drainer     = (*Module)(nil)
 )
 
 // Provision implements kernel.Module.
@@ -65,3 +66,6 @@
 	defer m.mesh.Close()
 	return m.server.Run(ctx)
 }
+
+// Drain implements kernel.Drainer: it lets the last answers out.
+func (m *Module) Drain(ctx context.Context) error { return m.mesh.Drain(ctx) }
