--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -225,7 +225,8 @@
 	p, err := startProcess(r.dir, node.Spec.VM+"-upstream", r.bench(), "standin-upstream",
 		"--listen", node.UpstreamAddress, "--egress", "http://"+node.Egress,
 		"--service", node.Spec.Service, "--slots", strconv.Itoa(node.Spec.Slots),
-		"--connections", strconv.Itoa(node.Spec.Connections), "--behaviour", string(behaviour))
+		"--connections", strconv.Itoa(node.Spec.Connections), "--behaviour", string(behaviour),
+		"--journal", r.journalFile(node))
 	node.Upstream = p
 	return err
 }
@@ -258,6 +259,11 @@
 	return postJSON(ctx, "http://"+node.UpstreamAddress+standin.PathBehaviour, b)
 }
 
+// LeaveUpstream makes a node's upstream announce that it is leaving.
+func (r *Rig) LeaveUpstream(ctx context.Context, node *Node) error {
+	return postJSON(ctx, "http://"+node.UpstreamAddress+standin.PathLeave, nil)
+}
+
 // Report returns what a node's upstream has seen since it was started.
 func (r *Rig) Report(ctx context.Context, node *Node) (standin.Report, error) {
 	var report standin.Report
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -19,10 +19,12 @@
 	"github.com/mangomast/mangomast/config"
 )
 
-// PathReport reads an upstream's Report; PathBehaviour sets its Behaviour.
+// PathReport reads an upstream's Report; PathBehaviour sets its Behaviour;
+// PathLeave makes it announce that it is leaving.
 const (
 	PathReport    = "/standin/report"
 	PathBehaviour = "/standin/behaviour"
+	PathLeave     = "/standin/leave"
 )
 
 // HeaderTestID names a request in the upstream's report.
@@ -77,6 +79,11 @@
 	// Egress is the base URL of the node's loopback listener.
 	Egress    string
 	Behaviour Behaviour
+	// Journal gets a line with the test ID of each run before it starts; it
+	// outlives the upstream. It may be nil.
+	Journal io.Writer
+	// Leave is called for PathLeave.
+	Leave func()
 	// Crash is called for a request with crash=1 in its query.
 	Crash func()
 }
@@ -86,7 +93,10 @@
 	slots  chan struct{}
 	egress string
 	crash  func()
+	leave  func()
 	client *http.Client
+	// journal is guarded by mu.
+	journal io.Writer
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -99,6 +109,8 @@
 		slots:     make(chan struct{}, opts.Slots),
 		egress:    opts.Egress,
 		crash:     opts.Crash,
+		leave:     opts.Leave,
+		journal:   opts.Journal,
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opts.Slots}},
 		behaviour: opts.Behaviour,
 		report:    Report{Runs: map[string]int{}, BusyByID: map[string]int64{}, Organisations: map[string]int{}},
@@ -115,6 +127,8 @@
 		writeJSON(w, u.report)
 	case PathBehaviour:
 		u.serveBehaviour(w, r)
+	case PathLeave:
+		u.leave()
 	default:
 		u.serveWork(w, r)
 	}
@@ -173,6 +187,7 @@
 	u.report.Organisations[r.Header.Get(call.HeaderOrganisation)]++
 	if id := r.Header.Get(HeaderTestID); id != "" {
 		u.report.Runs[id]++
+		u.record(id)
 	}
 	if seen {
 		u.report.KeysSeen++
@@ -180,6 +195,12 @@
 	return u.behaviour
 }
 
+func (u *Upstream) record(id string) {
+	if u.journal != nil {
+		_, _ = io.WriteString(u.journal, id+"\n")
+	}
+}
+
 // holdsKey looks for a caller's key in the whole request.
 func holdsKey(r *http.Request, body []byte) bool {
 	if strings.Contains(r.URL.String(), config.KeyPrefix) || bytes.Contains(body, []byte(config.KeyPrefix)) {
@@ -299,6 +320,16 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Leaving     bool   `json:"leaving"`
+
+	mu sync.Mutex
+}
+
+// Leave announces that the upstream takes no new work.
+func (a *Announcer) Leave(ctx context.Context) error {
+	a.mu.Lock()
+	a.Leaving = true
+	a.mu.Unlock()
+	return a.Announce(ctx)
 }
 
 const announceInterval = 500 * time.Millisecond
@@ -317,7 +348,9 @@
 
 // Announce posts one announcement.
 func (a *Announcer) Announce(ctx context.Context) error {
+	a.mu.Lock()
 	data, err := json.Marshal(a)
+	a.mu.Unlock()
 	if err != nil {
 		return errors.Wrap(err, "encode announcement")
 	}
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -13,7 +13,6 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
-	"github.com/pkg/errors"
 
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
@@ -45,7 +44,10 @@
 		ID:    ID,
 		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID, configplugin.ID},
 		New: func() kernel.Module {
-			return &Module{Shedding: true, MaxWait: jsonc.Duration(defaultMaxWait)}
+			return &Module{
+				Shedding: true, MaxWait: jsonc.Duration(defaultMaxWait),
+				Ledger: defaultLedgerSettings(), LeaveDelay: jsonc.Duration(defaultLeaveDelay),
+			}
 		},
 	})
 }
@@ -60,6 +62,17 @@
 	// than that.
 	MaxWait jsonc.Duration `json:"max_wait"`
 
+	// Ledger bounds what is remembered of requests that run at most once.
+	Ledger LedgerSettings `json:"ledger"`
+
+	// LeaveDelay is the least time between the announcement of a planned stop
+	// and the end of the node's connections.
+	LeaveDelay jsonc.Duration `json:"leave_delay"`
+
+	once *once
+	// active counts the requests that wait or run here.
+	active   atomic.Int64
+	leftAt   atomic.Pointer[time.Time]
 	clock    clockwork.Clock
 	log      log.Interface
 	vm       string
@@ -82,6 +95,7 @@
 	_ kernel.Module      = (*Module)(nil)
 	_ kernel.Validator   = (*Module)(nil)
 	_ kernel.ActorSource = (*Module)(nil)
+	_ kernel.Leaver      = (*Module)(nil)
 	_ kernel.Drainer     = (*Module)(nil)
 )
 
@@ -108,6 +122,7 @@
 	m.clock, m.log, m.vm = ctx.Clock, ctx.Log, ctx.Node.VM
 	m.metrics = newMetrics(ctx.Registry, m.load)
 	m.running = call.NewRegistry()
+	m.once = newOnce(m, fabric.Self(), ctx.Registry)
 	m.upstream = &upstreamState{
 		clock: ctx.Clock, log: ctx.Log, announcer: announcer,
 		static: ctx.Node.Upstream, changed: m.rebuild,
@@ -146,20 +161,6 @@
 	}
 }
 
-// Drain implements kernel.Drainer: it refuses new work and waits for what runs.
-func (m *Module) Drain(ctx context.Context) error {
-	const poll = 20 * time.Millisecond
-	m.upstream.leave()
-	for m.running.Len() > 0 {
-		select {
-		case <-ctx.Done():
-			return errors.Errorf("%d requests still run", m.running.Len())
-		case <-m.clock.After(poll):
-		}
-	}
-	return nil
-}
-
 // RegisterLoopback adds the upstream's own calls to the loopback listener.
 func (m *Module) RegisterLoopback(e *echo.Echo) {
 	e.POST("/.mangomast/announce", m.upstream.serveAnnounce)
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -17,7 +17,9 @@
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/internal/httpcall"
 	"github.com/mangomast/mangomast/internal/httpserver"
+	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/ledger"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	"github.com/mangomast/mangomast/plugin/dispatch"
 	"github.com/mangomast/mangomast/plugin/quota"
@@ -32,7 +34,9 @@
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
 		Needs: []kernel.ID{configplugin.ID, dispatch.ID, quota.ID, retryplugin.ID},
-		New:   func() kernel.Module { return &Module{Shedding: true} },
+		New: func() kernel.Module {
+			return &Module{Shedding: true, LeaveGrace: jsonc.Duration(defaultLeaveGrace)}
+		},
 	})
 }
 
@@ -41,6 +45,9 @@
 	// Shedding refuses requests that a service deeper in the call graph would
 	// refuse.
 	Shedding bool `json:"shedding"`
+	// LeaveGrace is how long callers with open connections are still served
+	// and told to go elsewhere, before a planned stop closes the connections.
+	LeaveGrace jsonc.Duration `json:"leave_grace"`
 
 	clock      clockwork.Clock
 	log        log.Interface
@@ -49,6 +56,7 @@
 	quota      quota.Gate
 	retries    *retryplugin.Module
 	metrics    *metrics
+	signer     *ledger.Signer
 	server     *httpserver.Server
 	levels     levelTable
 }
@@ -57,6 +65,7 @@
 	_ kernel.Module      = (*Module)(nil)
 	_ kernel.Starter     = (*Module)(nil)
 	_ kernel.ActorSource = (*Module)(nil)
+	_ kernel.Leaver      = (*Module)(nil)
 	_ kernel.Drainer     = (*Module)(nil)
 )
 
@@ -78,7 +87,9 @@
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
 	m.levels.table = shedding.NewTable(shedding.TableOptions{})
+	m.signer = ledger.NewSigner(ctx.Node.FleetSecret)
 	e := echo.New()
+	e.POST(PathIDs, m.serveID)
 	e.Any("/*", m.serve)
 	m.server = httpserver.New(ctx.Node.Listen.Callers, e)
 	return nil
@@ -95,12 +106,6 @@
 	}
 }
 
-// Drain implements kernel.Drainer: it finishes the callers' requests.
-func (m *Module) Drain(ctx context.Context) error {
-	m.server.RefuseKeepAlive()
-	return m.server.Shutdown(ctx)
-}
-
 // request is one caller's request on its way through the checks.
 type request struct {
 	started  time.Time
@@ -108,6 +113,8 @@
 	route    *config.Route
 	key      *config.Key
 	head     *call.Head
+	// resent requests came with a request ID, so they may have run before.
+	resent bool
 }
 
 func (m *Module) serve(c echo.Context) error {
@@ -124,22 +131,24 @@
 	checks := []func(*http.Request, *request) *call.Reply{
 		m.authenticate,
 		m.match,
+		m.identify,
 		m.shed,
 		m.spend,
 	}
+	req.resent = r.Header.Get(call.HeaderRequestID) != ""
 	for _, check := range checks {
 		if refusal := check(r, req); refusal != nil {
-			return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
+			return writeReply(c, req, refusal, nil)
 		}
 	}
 	body, refusal := httpcall.ReadBody(c, req.route.MaxRequestBytes)
 	if refusal != nil {
-		return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
+		return writeReply(c, req, refusal, nil)
 	}
 	fillHead(r, req)
 	reply, answer := m.dispatchCounted(r, req, body)
 	m.learn(req, reply)
-	return reply, httpcall.WriteReply(c, req.head.ID, reply, answer, req.route.MaxAnswerBytes)
+	return writeReply(c, req, reply, answer)
 }
 
 // authenticate takes the key off the request and finds its organisation.
