Collect garbage less often and reuse the copy buffer

Cause: the CPU profile of an ingress at 2,000 requests a second, whose largest own costs were system calls (13%), the collector's mark workers (11%) and large allocations (4.5%), the 32 KB buffer made for each answer. Change: mangomastd lets its heap grow to five times its live part, with a memory limit of 200 MB under the budget of 256 MB; copy buffers are pooled. Excluded: other work on the call path; no own function stood above 5%. The latencies before and after met different load, so only the processor time is compared.

--- a/cmd/mangomastd/main.go
+++ b/cmd/mangomastd/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -17,6 +18,15 @@
 	"github.com/mangomast/mangomast/settings"
 )
 
+const (
+	// gcPercent lets the heap grow to several times its live part before it is
+	// collected; the live part of a node is small.
+	gcPercent = 400
+	// memoryLimitBytes makes collections more frequent near a node's budget
+	// of 256 MB.
+	memoryLimitBytes = 200 << 20
+)
+
 type options struct {
 	Settings      string `long:"settings" value-name:"FILE" description:"run the node with the settings in FILE"`
 	CheckSettings string `long:"check-settings" value-name:"FILE" description:"print every finding in FILE and exit; 1 if there are any"`
@@ -51,6 +61,8 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimitBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return node.Run(ctx, parsed, os.Stderr)
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/labstack/echo/v4"
 
@@ -16,6 +17,9 @@
 
 const copyBufferBytes = 32 << 10
 
+// copyBuffers keeps the buffers that answers are copied through.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+
 // ReadBody reads a request's whole body, at most limit bytes.
 func ReadBody(c echo.Context, limit int64) ([]byte, *call.Reply) {
 	body, err := io.ReadAll(io.LimitReader(c.Request().Body, limit+1))
@@ -95,8 +99,9 @@
 	if answer == nil {
 		return
 	}
-	buffer := make([]byte, copyBufferBytes)
-	written, err := io.CopyBuffer(onlyWriter{c.Response()}, io.LimitReader(answer, limit+1), buffer)
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	written, err := io.CopyBuffer(onlyWriter{c.Response()}, io.LimitReader(answer, limit+1), buffer[:])
+	copyBuffers.Put(buffer)
 	bodyless := c.Request().Method == http.MethodHead
 	short := length >= 0 && written != length && !bodyless
 	if err != nil || short || written > limit {
