Choose VMs by what was seen of them, not by what they say

Cause: the picker took any VM of the nearest failure domain. An upstream that announces itself and fails everything kept its share of the requests; a cold one got its full share at once.

Excluded: health and load stated by upstreams (they lag and mislead); ejection by a VM's own failures alone (a failure deeper in the chain would eject half of a healthy service, and did in a property test); the rendezvous module (it gives one winner, not the k best).

Change: routing.Balancer: subset by rendezvous hash, tiers with spill by load, the cheaper of two random choices, ejection against peers with a floor, ramp of new VMs, a token bucket for bytes to other regions. The announcement takes the upstream's own statements and nothing uses them.

--- a/cmd/mangomast-bench/standin.go
+++ b/cmd/mangomast-bench/standin.go
@@ -47,6 +47,7 @@
 	})
 	announcer := &standin.Announcer{
 		Egress: c.Egress, Service: c.Service, Address: c.Listen, Slots: c.Slots, Connections: c.Connections,
+		Health: behaviour.SaysHealth, Load: behaviour.SaysLoad,
 	}
 	go func() { _ = announcer.Run(context.Background()) }()
 	return serve(c.Listen, upstream)
--- a/plugin/dispatch/dispatch.go
+++ b/plugin/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
@@ -29,7 +30,7 @@
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
 		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID, inbound.ID, retryplugin.ID},
-		New:   func() kernel.Module { return &Module{} },
+		New:   func() kernel.Module { return &Module{Routing: defaultRouting()} },
 	})
 }
 
@@ -42,6 +43,9 @@
 
 // Module implements Dispatcher over the mesh.
 type Module struct {
+	// Routing says how VMs are chosen.
+	Routing Routing `json:"routing"`
+
 	clock   clockwork.Clock
 	log     log.Interface
 	mesh    *mesh.Mesh
@@ -53,10 +57,16 @@
 }
 
 var (
-	_ kernel.Module = (*Module)(nil)
-	_ Dispatcher    = (*Module)(nil)
+	_ kernel.Module    = (*Module)(nil)
+	_ kernel.Validator = (*Module)(nil)
+	_ Dispatcher       = (*Module)(nil)
 )
 
+// Validate implements kernel.Validator.
+func (m *Module) Validate(prefix string, findings *finding.List) {
+	m.Routing.validate(prefix+"/routing", findings)
+}
+
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
 	var err error
@@ -73,7 +83,7 @@
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
-	m.picker = &routing.Near{FailureDomain: ctx.Node.FailureDomain, Region: ctx.Node.Region}
+	m.picker = m.Routing.picker(ctx.Node)
 	kernel.Provide[Dispatcher](ctx, m)
 	return nil
 }
