Carry the revision stream through relays, with freshness and acceptance

Cause: every node watched the store, Fresh was true for any configuration however old, and Accepted meant no more than known here. Excluded: a watch by the relays (the age needs regular reads anyway, and a read of revisions alone tells both); votes of whole failure domains, because two relays of a domain that is split within itself could give its vote twice; witnesses by VM, because a node that was started again has forgotten what it acknowledged (the model test finds both cases). Change: package revision decides freshness, acceptance and deltas. Relays read the store, each rank later than the one before, and only if nobody did lately; all others take the stream, with the age of its proof, from relays. A table of witnesses, part of the stream, says whose attestations make a majority while the store is away. A document moves as sections that changed. The ingress checks freshness for each organisation, again after the body, and the inbound side refuses a key that was withdrawn after a paused ingress had checked it. The history of changes moves out of the stream's prefix, since each read of the stream listed up to a thousand of its keys.

--- a/call/call.go
+++ b/call/call.go
@@ -158,6 +158,10 @@
 	// Passed is the share of such requests that the ingress accepted; 0 if it
 	// accepted all.
 	Passed float64 `cbor:"20,keyasint,omitempty"`
+	// Key is the ID of the caller's key, and KeyRevision the revision of the
+	// stream under which it was valid; empty for calls made by upstreams.
+	Key         string `cbor:"40,keyasint,omitempty"`
+	KeyRevision int64  `cbor:"41,keyasint,omitempty"`
 }
 
 // Reply is everything about an answer but its body.
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -19,6 +19,7 @@
 
 	organisations map[string]*Organisation
 	keys          map[string]*Key
+	keysByID      map[string]*Key
 	exact         map[string][]*Route
 	prefixes      []*Route
 }
@@ -43,6 +44,7 @@
 		Document:      doc,
 		organisations: make(map[string]*Organisation, len(doc.Organisations)),
 		keys:          make(map[string]*Key, len(doc.Keys)),
+		keysByID:      make(map[string]*Key, len(doc.Keys)),
 		exact:         map[string][]*Route{},
 	}
 	for i := range doc.Organisations {
@@ -50,6 +52,7 @@
 	}
 	for i := range doc.Keys {
 		s.keys[strings.ToLower(doc.Keys[i].Hash)] = &doc.Keys[i]
+		s.keysByID[doc.Keys[i].ID] = &doc.Keys[i]
 	}
 	for i := range doc.Routes {
 		s.addRoute(&doc.Routes[i])
@@ -81,6 +84,9 @@
 // KeyByHash returns the key with the hash, or nil.
 func (s *Snapshot) KeyByHash(hash string) *Key { return s.keys[hash] }
 
+// KeyByID returns the key with the ID, or nil.
+func (s *Snapshot) KeyByID(id string) *Key { return s.keysByID[id] }
+
 // Route returns the route for a request, or nil. An exact path goes before a
 // prefix, a longer prefix before a shorter one.
 func (s *Snapshot) Route(method, path string) *Route {
--- a/edit/editor.go
+++ b/edit/editor.go
@@ -17,7 +17,7 @@
 
 const (
 	// HistoryPrefix starts the keys of past changes, after the store's prefix.
-	HistoryPrefix = "config/history/"
+	HistoryPrefix = "history/"
 	// HistoryLength is the number of changes that are kept.
 	HistoryLength = 1000
 	// settleDelay is the pause before a store that gave no answer is asked
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -1,11 +1,15 @@
 // Package config keeps the node's configuration up to date and provides
-// config.Source to the other modules.
+// config.Source and config.Freshness to the other modules.
+//
+// Only relays read the store; the other nodes take the stream from the relays
+// of their failure domain. All of them ask for what is new in short intervals,
+// and each answer carries the age of its proof of freshness.
 package config
 
 import (
 	"context"
 	"encoding/json"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,9 +17,13 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/mesh"
 	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
 	storeplugin "github.com/mangomast/mangomast/plugin/store"
+	"github.com/mangomast/mangomast/revision"
 	"github.com/mangomast/mangomast/store"
 )
 
@@ -23,9 +31,16 @@
 const ID kernel.ID = "config"
 
 const (
-	retryDelay  = 300 * time.Millisecond
-	readTimeout = 2 * time.Second
-	// Names of the stream's keys after config.StreamPrefix.
+	defaultInterval = 500 * time.Millisecond
+	minInterval     = 50 * time.Millisecond
+	// boundIntervals is the least number of intervals in the bound.
+	boundIntervals = 3
+	// historyLength is the number of states that deltas are made from.
+	historyLength = 8
+)
+
+// Names of the stream's keys after config.StreamPrefix.
+const (
 	documentName = "document"
 	ownersName   = "owners"
 )
@@ -34,28 +49,66 @@
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
 		Needs: []kernel.ID{storeplugin.ID, membershipplugin.ID},
-		New:   func() kernel.Module { return &Module{} },
+		New: func() kernel.Module {
+			return &Module{Interval: jsonc.Duration(defaultInterval), Bound: jsonc.Duration(revision.DefaultBound)}
+		},
 	})
 }
 
-// Module reads and watches the document in the store.
+// Module follows the revision stream.
 type Module struct {
+	// Interval is the time between two questions for what is new.
+	Interval jsonc.Duration `json:"interval"`
+	// Bound is the age up to which a proof of freshness counts.
+	Bound jsonc.Duration `json:"freshness_bound"`
+	// IgnoreFreshness serves callers under any configuration, however old.
+	// It is for experiments only.
+	IgnoreFreshness bool `json:"ignore_freshness"`
+
 	store   store.Store
 	members *membershipplugin.Module
+	mesh    *mesh.Mesh
 	prefix  string
 	clock   clockwork.Clock
 	log     log.Interface
-	// owners is used by the watching goroutine alone.
-	owners  *config.OwnerTable
-	current atomic.Pointer[config.Snapshot]
+
+	current  atomic.Pointer[config.Snapshot]
+	provenAt atomic.Pointer[time.Time]
+	accepted atomic.Int64
+
+	mu         sync.Mutex
+	state      *revision.State
+	history    []*revision.State
+	freshness  revision.Freshness
+	acceptance *revision.Acceptance
+	attested   *revision.Attestations
+	witnesses  *revision.WitnessTable
+	// reports are what the other failure domains' relays said of their VMs.
+	reports map[string]domainReport
+	// asking holds the addresses with a question outstanding.
+	asking map[string]bool
+	// failures rotates through the relays of a failure domain.
+	failures map[string]int
 }
 
 var (
 	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Validator   = (*Module)(nil)
 	_ kernel.ActorSource = (*Module)(nil)
 	_ config.Source      = (*Module)(nil)
+	_ config.Freshness   = (*Module)(nil)
 )
 
+// Validate implements kernel.Validator.
+func (m *Module) Validate(prefix string, findings *finding.List) {
+	if m.Interval.Std() < minInterval {
+		findings.Addf(prefix+"/interval", "must be at least %s", minInterval)
+	}
+	if m.Bound.Std() < boundIntervals*m.Interval.Std() {
+		findings.Addf(prefix+"/freshness_bound", "must be at least %d intervals", boundIntervals)
+	}
+}
+
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
 	var err error
@@ -65,9 +118,20 @@
 	if m.members, err = kernel.Require[*membershipplugin.Module](ctx); err != nil {
 		return err
 	}
+	if m.mesh, err = kernel.Require[*mesh.Mesh](ctx); err != nil {
+		return err
+	}
 	m.prefix = ctx.Node.Store.Prefix + config.StreamPrefix
 	m.clock, m.log = ctx.Clock, ctx.Log
+	m.acceptance = revision.NewAcceptance(m.Bound.Std())
+	m.attested = revision.NewAttestations()
+	m.witnesses = &revision.WitnessTable{}
+	m.reports = map[string]domainReport{}
+	m.asking = map[string]bool{}
+	m.failures = map[string]int{}
+	m.mesh.Handle(mesh.KindRevision, mesh.Typed(m.serveQuestion))
 	kernel.Provide[config.Source](ctx, m)
+	kernel.Provide[config.Freshness](ctx, m)
 	return nil
 }
 
@@ -75,94 +139,128 @@
 func (m *Module) Snapshot() *config.Snapshot { return m.current.Load() }
 
 // Fresh implements config.Source.
-func (m *Module) Fresh() bool { return m.current.Load() != nil }
+func (m *Module) Fresh() bool { return m.provenWithin(m.Bound.Std()) }
 
-// Accepted implements config.Source.
-func (m *Module) Accepted() int64 {
-	if current := m.current.Load(); current != nil {
-		return current.Stream
+// ServesOrganisation implements config.Freshness.
+func (m *Module) ServesOrganisation(org *config.Organisation) bool {
+	return m.provenWithin(max(m.Bound.Std(), org.ServeWhenCutOff.Std()))
+}
+
+// ProofAge implements config.Freshness.
+func (m *Module) ProofAge() (age time.Duration, ok bool) {
+	at := m.provenAt.Load()
+	if at == nil {
+		return 0, false
 	}
-	return 0
+	return m.clock.Since(*at), true
 }
 
+func (m *Module) provenWithin(bound time.Duration) bool {
+	if m.current.Load() == nil {
+		return false
+	}
+	age, ok := m.ProofAge()
+	return m.IgnoreFreshness || ok && age <= bound
+}
+
+// Accepted implements config.Source.
+func (m *Module) Accepted() int64 { return m.accepted.Load() }
+
 // Actors implements kernel.ActorSource.
 func (m *Module) Actors() []kernel.Actor {
-	return []kernel.Actor{{Name: "watch", Run: m.run}}
+	return []kernel.Actor{
+		{Name: "follow", Run: m.follow},
+		{Name: "read store", Run: m.readStore},
+		{Name: "choose witnesses", Run: m.chooseWitnesses},
+	}
 }
 
-func (m *Module) run(ctx context.Context) error {
-	for {
-		if err := m.follow(ctx); ctx.Err() == nil {
-			m.log.WithError(err).Warn("configuration is not being watched; trying again")
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-m.clock.After(retryDelay):
+// held returns the revision that this node holds. The caller holds m.mu.
+func (m *Module) held() int64 {
+	if m.state == nil {
+		return 0
+	}
+	return m.state.Revision
+}
+
+// adopt takes in a later state; an earlier one is ignored. The caller holds
+// m.mu.
+func (m *Module) adopt(state *revision.State) {
+	if state.Revision <= m.held() {
+		return
+	}
+	m.state = state
+	m.history = append(m.history, state)
+	m.history = m.history[max(0, len(m.history)-historyLength):]
+	if table, err := revision.ParseWitnesses(state.Value(revision.WitnessName).Data); err != nil {
+		m.log.WithError(err).Error("witness table is invalid; keeping the last one")
+	} else {
+		m.witnesses = table
+	}
+	before := longestCutOff(m.current.Load())
+	if snapshot := m.compile(state); snapshot != nil {
+		m.current.Store(snapshot)
+	}
+	m.acceptance.Track(state.Revision, max(before, longestCutOff(m.current.Load())))
+	m.members.SetConfigRevision(state.Revision)
+	m.log.WithField("revision", state.Revision).Info("configuration is in force on this node")
+}
+
+// compile returns the snapshot of a state. Parts that are invalid are kept as
+// they were.
+func (m *Module) compile(state *revision.State) *config.Snapshot {
+	snapshot := m.current.Load()
+	value := state.Value(documentName)
+	if len(value.Data) > 0 && (snapshot == nil || snapshot.Revision != value.Revision) {
+		doc := &config.Document{}
+		if err := json.Unmarshal(value.Data, doc); err != nil {
+			m.log.WithError(err).Error("configuration in the store is invalid; keeping the last one")
+		} else {
+			snapshot = config.NewSnapshot(doc, value.Revision)
 		}
 	}
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.WithOwners(m.owners(state, snapshot), state.Revision)
 }
 
-// follow reads the stream's keys and takes in changes until the watch ends.
-func (m *Module) follow(ctx context.Context) error {
-	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	listing, err := m.store.List(readCtx, m.prefix)
-	cancel()
+func (m *Module) owners(state *revision.State, snapshot *config.Snapshot) *config.OwnerTable {
+	value := state.Value(ownersName)
+	if len(value.Data) == 0 || snapshot.Owners.StreamRevision() == value.Revision {
+		return snapshot.Owners
+	}
+	table, err := config.ParseOwners(value.Data, value.Revision)
 	if err != nil {
-		return err
+		m.log.WithError(err).Error("owner table in the store is invalid; keeping the last one")
+		return snapshot.Owners
 	}
-	m.accept(listing.Records)
-	return m.store.Watch(ctx, m.prefix, listing.Revision+1, func(batch store.WatchBatch) {
-		var records []store.Record
-		for _, event := range batch.Events {
-			if !event.Deleted {
-				records = append(records, event.Record)
-			}
-		}
-		m.accept(records)
-	})
+	return table
 }
 
-// accept takes in records of the stream that are newer than those known.
-func (m *Module) accept(records []store.Record) {
-	for _, record := range records {
-		if m.acceptRecord(record) {
-			m.members.SetConfigRevision(m.Accepted())
-			m.log.WithField("revision", record.ModRevision).Info("configuration is in force")
+// longestCutOff is the longest time that any organisation may be served
+// without freshness.
+func longestCutOff(snapshot *config.Snapshot) time.Duration {
+	var longest time.Duration
+	if snapshot != nil {
+		for i := range snapshot.Document.Organisations {
+			longest = max(longest, snapshot.Document.Organisations[i].ServeWhenCutOff.Std())
 		}
 	}
+	return longest
 }
 
-func (m *Module) acceptRecord(record store.Record) bool {
-	current := m.current.Load()
-	switch strings.TrimPrefix(record.Key, m.prefix) {
-	case documentName:
-		if current != nil && record.ModRevision <= current.Revision {
-			return false
-		}
-		doc := &config.Document{}
-		if err := json.Unmarshal(record.Value, doc); err != nil {
-			m.log.WithError(err).Error("configuration in the store is invalid; keeping the last one")
-			return false
-		}
-		next := config.NewSnapshot(doc, record.ModRevision)
-		m.current.Store(next.WithOwners(m.owners, max(record.ModRevision, m.owners.StreamRevision())))
-	case ownersName:
-		if m.owners != nil && record.ModRevision <= m.owners.Revision {
-			return false
-		}
-		table, err := config.ParseOwners(record.Value, record.ModRevision)
-		if err != nil {
-			m.log.WithError(err).Error("owner table in the store is invalid; keeping the last one")
-			return false
-		}
-		m.owners = table
-		if current == nil {
-			return false
+// follow asks for what is new in intervals.
+func (m *Module) follow(ctx context.Context) error {
+	ticker := m.clock.NewTicker(m.Interval.Std())
+	defer ticker.Stop()
+	for {
+		m.askAll(ctx)
+		m.decide()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
 		}
-		m.current.Store(current.WithOwners(table, max(current.Stream, record.ModRevision)))
-	default:
-		return false
 	}
-	return true
 }
--- /dev/null
+++ b/plugin/config/reader.go
@@ -0,0 +1,110 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/revision"
+	"github.com/mangomast/mangomast/store"
+)
+
+const (
+	readTimeout = 2 * time.Second
+	// readCheck is the time between two looks at whether a read is due.
+	readCheck = 100 * time.Millisecond
+	// readAge is the age of the last proof by the store at which the first
+	// relay of a failure domain reads it; each further relay waits readStep
+	// longer, so that it reads only if the others do not.
+	readAge  = 400 * time.Millisecond
+	readStep = 800 * time.Millisecond
+	// Bounds of the delay after a failed read; it doubles each time.
+	minBackoff = 500 * time.Millisecond
+	maxBackoff = 4 * time.Second
+)
+
+var errOlderRevision = errors.New("store answered an older revision than one that was seen")
+
+// readStore reads the store whenever no relay has for a while.
+func (m *Module) readStore(ctx context.Context) error {
+	backoff := time.Duration(0)
+	for {
+		if m.readDue() {
+			err := m.read(ctx)
+			backoff = nextBackoff(backoff, err)
+			if err != nil && ctx.Err() == nil {
+				m.log.WithError(err).WithField("again_in", backoff.String()).Warn("store was not read")
+			}
+		}
+		// The jitter keeps relays from reading in step.
+		wait := max(readCheck, backoff)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-m.clock.After(wait/2 + rand.N(wait)):
+		}
+		m.decide()
+	}
+}
+
+func nextBackoff(last time.Duration, err error) time.Duration {
+	if err == nil {
+		return 0
+	}
+	return min(max(minBackoff, 2*last), maxBackoff)
+}
+
+func (m *Module) readDue() bool {
+	_, rank := m.members.Position()
+	if rank < 0 {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock.Since(m.freshness.Store()) > readAge+time.Duration(rank)*readStep
+}
+
+// read asks the store whether anything is new, and if so reads the stream.
+func (m *Module) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	asked := m.clock.Now()
+	listing, err := m.store.Revisions(ctx, m.prefix)
+	if err != nil {
+		return err
+	}
+	latest := m.stateOf(listing)
+	m.mu.Lock()
+	held := m.held()
+	m.mu.Unlock()
+	if latest.Revision > held {
+		asked = m.clock.Now()
+		if listing, err = m.store.List(ctx, m.prefix); err != nil {
+			return err
+		}
+		latest = m.stateOf(listing)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if latest.Revision < held {
+		return errOlderRevision
+	}
+	if latest.Revision > held {
+		m.adopt(latest)
+	}
+	m.freshness.ProveByStore(asked)
+	m.publishProof()
+	return nil
+}
+
+func (m *Module) stateOf(listing store.Listing) *revision.State {
+	var values []revision.Value
+	for _, record := range listing.Records {
+		name := strings.TrimPrefix(record.Key, m.prefix)
+		values = append(values, revision.Value{Name: name, Revision: record.ModRevision, Data: record.Value})
+	}
+	return revision.NewState(values)
+}
--- /dev/null
+++ b/plugin/config/stream.go
@@ -0,0 +1,225 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
+	"github.com/mangomast/mangomast/revision"
+)
+
+// askTimeout bounds one question and its answer.
+const askTimeout = 600 * time.Millisecond
+
+// question asks a node for what is new in the stream.
+type question struct {
+	// Held is the revision that the asking node holds.
+	Held int64 `cbor:"1,keyasint"`
+	// Whole asks for the whole stream, after a delta that did not fit.
+	Whole bool `cbor:"2,keyasint,omitempty"`
+}
+
+// answer says what a node holds. It attests the revision, as of the question.
+type answer struct {
+	VM          string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Held        int64  `cbor:"3,keyasint"`
+	Accepted    int64  `cbor:"4,keyasint,omitempty"`
+	// StoreAge and QuorumAge are the ages of the answering node's proofs.
+	StoreAge  *time.Duration `cbor:"5,keyasint,omitempty"`
+	QuorumAge *time.Duration `cbor:"6,keyasint,omitempty"`
+	// Delta leads from what the asking node holds to Held.
+	Delta *revision.Delta `cbor:"7,keyasint,omitempty"`
+	// Report is set by relays.
+	Report *domainReport `cbor:"8,keyasint,omitempty"`
+}
+
+// target is a node to ask.
+type target struct {
+	entry membership.Entry
+	// group names the relays that stand in for each other.
+	group string
+}
+
+// askAll asks every target that has answered the last question.
+func (m *Module) askAll(ctx context.Context) {
+	for _, t := range m.targets() {
+		if !m.begin(t.entry.MeshAddress) {
+			continue
+		}
+		go func() {
+			m.ask(ctx, t)
+			m.decide()
+		}()
+	}
+}
+
+func (m *Module) begin(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.asking[address] {
+		return false
+	}
+	m.asking[address] = true
+	return true
+}
+
+// targets returns the nodes to ask. A relay asks the other relays of its
+// failure domain and one of each other domain; while a proof or an acceptance
+// needs the witnesses, it asks them too. Another node asks one relay.
+func (m *Module) targets() []target {
+	relays, rank := m.members.Position()
+	self := m.members.Self()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if rank < 0 {
+		return []target{m.pick(self.FailureDomain, relays)}
+	}
+	chosen := map[string]target{}
+	for _, r := range relays {
+		chosen[r.VM] = target{entry: r}
+	}
+	for domain, relays := range m.members.OtherRelays() {
+		t := m.pick(domain, relays)
+		chosen[t.entry.VM] = t
+	}
+	if m.needsWitnesses() {
+		view := m.members.View()
+		for _, vm := range m.witnesses.Names() {
+			if entry, ok := view.Get(vm); ok {
+				chosen[vm] = target{entry: entry, group: chosen[vm].group}
+			}
+		}
+	}
+	delete(chosen, self.VM)
+	targets := make([]target, 0, len(chosen))
+	for _, t := range chosen {
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+// pick chooses one of the relays of a failure domain, another one after each
+// failure.
+func (m *Module) pick(domain string, relays []membership.Entry) target {
+	return target{entry: relays[m.failures[domain]%len(relays)], group: domain}
+}
+
+// needsWitnesses reports whether a revision waits for acceptance or the store
+// has not been read for too long. The caller holds m.mu.
+func (m *Module) needsWitnesses() bool {
+	return m.acceptance.Waiting() || m.clock.Since(m.freshness.Store()) > m.Bound.Std()/boundIntervals
+}
+
+// ask sends one question and takes in the answer.
+func (m *Module) ask(ctx context.Context, t target) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	m.mu.Lock()
+	q := question{Held: m.held()}
+	m.mu.Unlock()
+	a, asked, err := m.exchange(ctx, t, q)
+	m.mu.Lock()
+	if err == nil && !m.take(a, asked) {
+		m.mu.Unlock()
+		a, asked, err = m.exchange(ctx, t, question{Whole: true})
+		m.mu.Lock()
+		if err == nil {
+			m.take(a, asked)
+		}
+	}
+	defer m.mu.Unlock()
+	delete(m.asking, t.entry.MeshAddress)
+	if err != nil {
+		m.failures[t.group]++
+		m.log.WithError(err).WithField("member", t.entry.VM).Debug("question about the configuration was not answered")
+	}
+}
+
+func (m *Module) exchange(ctx context.Context, t target, q question) (answer, time.Time, error) {
+	var a answer
+	asked := m.clock.Now()
+	peer := mesh.Peer{VM: t.entry.VM, Address: t.entry.MeshAddress}
+	err := m.mesh.Exchange(ctx, peer, mesh.KindRevision, q, &a)
+	return a, asked, err
+}
+
+// take takes in an answer. Ages count from when the question was asked, which
+// is before they were measured. It returns false if the delta does not fit.
+// The caller holds m.mu.
+func (m *Module) take(a answer, asked time.Time) bool {
+	m.attested.Note(a.VM, a.Incarnation, a.Held, asked)
+	m.acceptance.Learn(a.Accepted)
+	if a.Report != nil {
+		a.Report.taken = asked
+		m.reports[a.Report.Domain] = *a.Report
+	}
+	if a.Held > m.held() {
+		if a.Delta == nil {
+			return false
+		}
+		state, err := revision.Apply(m.state, a.Delta)
+		if err != nil {
+			m.log.WithError(err).Debug("asking for the whole configuration")
+			return false
+		}
+		m.adopt(state)
+	}
+	if a.StoreAge != nil {
+		m.freshness.ProveByStore(asked.Add(-*a.StoreAge))
+	}
+	if a.QuorumAge != nil {
+		m.freshness.ProveByQuorum(asked.Add(-*a.QuorumAge))
+	}
+	m.publishProof()
+	return true
+}
+
+// publishProof makes the latest proof visible to requests. The caller holds
+// m.mu.
+func (m *Module) publishProof() {
+	if at := m.freshness.At(); !at.IsZero() {
+		m.provenAt.Store(&at)
+	}
+}
+
+// serveQuestion answers another node's question.
+func (m *Module) serveQuestion(_ context.Context, _ mesh.Identity, q question) (answer, error) {
+	self := m.members.Self()
+	report := m.report()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	a := answer{
+		VM: self.VM, Incarnation: self.Incarnation, Held: m.held(), Accepted: m.acceptance.Accepted(),
+		StoreAge: ageOf(m.freshness.Store(), now), QuorumAge: ageOf(m.freshness.Quorum(), now),
+		Report: report,
+	}
+	if a.Held > q.Held {
+		a.Delta = revision.Diff(m.base(q), m.state)
+	}
+	return a, nil
+}
+
+func ageOf(at, now time.Time) *time.Duration {
+	if at.IsZero() {
+		return nil
+	}
+	age := now.Sub(at)
+	return &age
+}
+
+// base returns the state that a delta starts from; nil for the whole stream.
+// The caller holds m.mu.
+func (m *Module) base(q question) *revision.State {
+	if q.Whole {
+		return nil
+	}
+	for _, state := range m.history {
+		if state.Revision == q.Held {
+			return state
+		}
+	}
+	return nil
+}
--- a/plugin/inbound/serve.go
+++ b/plugin/inbound/serve.go
@@ -26,6 +26,9 @@
 	case state != membership.Ready || upstream.Service != head.Service:
 		return call.Refuse(call.CodeNoUpstream, "the VM has no upstream for the service"), nil
 	}
+	if refusal := m.checkKey(head); refusal != nil {
+		return refusal, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, head.Timeout)
 	slot, refusal := s.gate.Acquire(ctx, head)
 	if refusal != nil {
--- /dev/null
+++ b/plugin/inbound/withdrawn.go
@@ -0,0 +1,19 @@
+package inbound
+
+import (
+	"github.com/mangomast/mangomast/call"
+)
+
+// checkKey refuses a request whose key was withdrawn after the ingress had
+// checked it, as happens when the ingress was paused in between. Calls made by
+// upstreams name no key: work that was admitted goes on.
+func (m *Module) checkKey(head *call.Head) *call.Reply {
+	snapshot := m.config.Snapshot()
+	if head.Key == "" || snapshot == nil || snapshot.Stream <= head.KeyRevision {
+		return nil
+	}
+	if snapshot.KeyByID(head.Key) == nil {
+		return call.Refuse(call.CodeUnauthenticated, "the key was withdrawn")
+	}
+	return nil
+}
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -45,6 +45,7 @@
 	clock      clockwork.Clock
 	log        log.Interface
 	config     config.Source
+	freshness  config.Freshness
 	dispatcher dispatch.Dispatcher
 	quota      quota.Gate
 	retries    *retryplugin.Module
@@ -66,6 +67,9 @@
 	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
 		return err
 	}
+	if m.freshness, err = kernel.Require[config.Freshness](ctx); err != nil {
+		return err
+	}
 	if m.dispatcher, err = kernel.Require[dispatch.Dispatcher](ctx); err != nil {
 		return err
 	}
@@ -136,6 +140,9 @@
 	if refusal != nil {
 		return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
 	}
+	if refusal := m.checkAgain(req); refusal != nil {
+		return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
+	}
 	fillHead(r, req)
 	reply, answer := m.dispatchCounted(r, req, body)
 	m.learn(req, reply)
@@ -146,8 +153,8 @@
 func (m *Module) authenticate(r *http.Request, req *request) *call.Reply {
 	key, ok := takeKey(r)
 	req.snapshot = m.config.Snapshot()
-	if req.snapshot == nil || !m.config.Fresh() {
-		return call.Refuse(call.CodeStaleConfig, "the node has no fresh configuration; try another node")
+	if req.snapshot == nil {
+		return call.Refuse(call.CodeStaleConfig, "the node has no configuration yet; try another node")
 	}
 	if !ok {
 		return call.Refuse(call.CodeUnauthenticated, "exactly one key must come with the request")
@@ -164,7 +171,7 @@
 		return call.Refuse(call.CodeForbidden, "the organisation is suspended")
 	}
 	req.head.Organisation = org.ID
-	return nil
+	return m.checkFreshness(org)
 }
 
 // match finds the route and checks that it is open to the organisation.
@@ -185,6 +192,8 @@
 	header := r.Header.Clone()
 	call.StripHeader(header)
 	head := req.head
+	head.Key = req.key.ID
+	head.KeyRevision = req.snapshot.Stream
 	head.Route = req.route.ID
 	head.Service = req.route.Service
 	head.Timeout = req.route.Deadline.Std()
