--- /dev/null
+++ b/internal/bench/decisions.go
@@ -0,0 +1,265 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/jsonc"
+	"github.com/mangomast/mangomast/ledger"
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/quota"
+	"github.com/mangomast/mangomast/revision"
+	"github.com/mangomast/mangomast/routing"
+)
+
+func init() {
+	Register(Case{
+		Name: "decisions", Run: runDecisions,
+		Help: "time and memory of the decision packages alone, up to the size to build towards",
+	})
+}
+
+// DecisionRow is one operation of a decision package at one size.
+type DecisionRow struct {
+	// Name is the operation, such as "membership heartbeat".
+	Name string `json:"name"`
+	// Entries is the size of the state that it works on.
+	Entries int `json:"entries"`
+	// Nanos is the time of one operation; BytesPerEntry the memory of the
+	// state, 0 if it was not measured.
+	Nanos         float64 `json:"ns"`
+	BytesPerEntry float64 `json:"bytes_per_entry,omitempty"`
+}
+
+type decisionFigures struct {
+	Rows []DecisionRow `json:"decisions"`
+}
+
+const (
+	fleetVMs          = 24_000
+	fleetDomains      = 38
+	fleetServices     = 3800
+	largestService    = 600
+	documentKeys      = 6000
+	ledgerEntries     = 50_000
+	measuringDuration = 200 * time.Millisecond
+)
+
+func runDecisions(context.Context, *Env) (*Report, error) {
+	figures := &decisionFigures{}
+	for _, vms := range []int{1500, 6000, fleetVMs} {
+		figures.Rows = append(figures.Rows, membershipRows(vms)...)
+	}
+	for _, vms := range []int{6, 60, largestService} {
+		figures.Rows = append(figures.Rows, routingRow(vms))
+	}
+	for _, keys := range []int{documentKeys / 16, documentKeys / 4, documentKeys} {
+		rows, err := documentRows(keys)
+		if err != nil {
+			return nil, err
+		}
+		figures.Rows = append(figures.Rows, rows...)
+	}
+	for _, holders := range []int{24, 240, 2400} {
+		figures.Rows = append(figures.Rows, quotaDecision(holders))
+	}
+	figures.Rows = append(figures.Rows, ledgerRow(ledgerEntries))
+	report := &Report{Holds: true, Figures: figures, Header: []string{"operation", "entries", "ns", "bytes an entry"}}
+	for _, r := range figures.Rows {
+		report.Rows = append(report.Rows, []string{r.Name, fmt.Sprint(r.Entries), fmt.Sprintf("%.0f", r.Nanos), fmt.Sprintf("%.0f", r.BytesPerEntry)})
+	}
+	return report, nil
+}
+
+// nanos returns the mean time of an operation that is run for a while.
+func nanos(operation func(number int)) float64 {
+	started := time.Now()
+	count := 0
+	for time.Since(started) < measuringDuration || count < 3 {
+		operation(count)
+		count++
+	}
+	return float64(time.Since(started).Nanoseconds()) / float64(count)
+}
+
+// heapGrowth returns the bytes that the value made by build holds.
+func heapGrowth(build func() any) (any, float64) {
+	before := heapInUse()
+	value := build()
+	after := heapInUse()
+	return value, max(0, float64(after)-float64(before))
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func fleetEntry(number int) membership.Entry {
+	domain := number % fleetDomains
+	return membership.Entry{
+		VM: fmt.Sprintf("vm-%05d", number), Incarnation: 1_800_000_000_000_000_000, Version: 3,
+		FailureDomain: fmt.Sprintf("domain-%02d", domain), Region: fmt.Sprintf("region-%02d", domain%11),
+		Service: fmt.Sprintf("service-%04d", number%fleetServices), State: membership.Ready, Slots: 40,
+		MeshAddress:   fmt.Sprintf("10.%d.%d.2:8081", number/250, number%250),
+		CallerAddress: fmt.Sprintf("10.%d.%d.2:8080", number/250, number%250),
+		AdminAddress:  fmt.Sprintf("10.%d.%d.2:8083", number/250, number%250),
+	}
+}
+
+func membershipRows(vms int) []DecisionRow {
+	now := time.Now()
+	built, bytes := heapGrowth(func() any {
+		table := membership.NewTable()
+		for i := range vms {
+			table.Hear(fleetEntry(i), now)
+		}
+		return table
+	})
+	table := built.(*membership.Table)
+	entry := fleetEntry(vms / 2)
+	rows := []DecisionRow{
+		{Name: "membership heartbeat", Nanos: nanos(func(int) { table.Hear(entry, now) }), BytesPerEntry: bytes / float64(vms)},
+		{Name: "membership changes since", Nanos: nanos(func(int) {
+			table.Changes(table.Sequence()-1, func(membership.Record) bool { return true })
+		})},
+		{Name: "membership view", Nanos: nanos(func(int) { membership.NewView(table.Entries()) })},
+	}
+	for i := range rows {
+		rows[i].Entries = vms
+	}
+	runtime.KeepAlive(table)
+	return rows
+}
+
+func routingRow(vms int) DecisionRow {
+	var candidates []membership.Entry
+	for i := range vms {
+		candidates = append(candidates, fleetEntry(i*fleetServices))
+	}
+	opts := routing.DefaultOptions()
+	opts.Self, opts.Rand = "vm-00001", rand.Float64
+	balancer := routing.NewBalancer(opts)
+	now := time.Now()
+	attempt := routing.Attempt{Head: &call.Head{Service: "service-0000", Route: "r"}, Now: now}
+	pick := nanos(func(int) {
+		if picked, ok := balancer.Pick(attempt, candidates); ok {
+			balancer.Begin(attempt, picked)
+			balancer.Done(routing.Result{Entry: picked, Head: attempt.Head, Reply: &call.Reply{Outcome: call.Answered}, Now: now})
+		}
+	})
+	return DecisionRow{Name: "routing pick", Entries: vms, Nanos: pick}
+}
+
+// fleetDocument is a document with the given number of keys; one organisation
+// for every ten keys, and a route for every two.
+func fleetDocument(keys int) *config.Document {
+	doc := &config.Document{}
+	for i := range keys / 10 {
+		id := fmt.Sprintf("organisation-%04d", i)
+		doc.Organisations = append(doc.Organisations, config.Organisation{ID: id, Weight: 1, Rate: 100, Burst: 100})
+	}
+	for i := range keys {
+		id := fmt.Sprintf("key-%05d", i)
+		doc.Keys = append(doc.Keys, config.Key{ID: id, Organisation: doc.Organisations[i/10%len(doc.Organisations)].ID, Hash: config.HashKey(id)})
+	}
+	for i := range keys / 2 {
+		service := fmt.Sprintf("service-%04d", i)
+		doc.Services = append(doc.Services, config.Service{ID: service})
+		doc.Routes = append(doc.Routes, config.Route{
+			ID: service, Method: "GET", Path: "/" + service + "/", Service: service, OpenTo: []string{config.Everyone},
+			Importance: 5, Deadline: jsonc.Duration(time.Second), MaxAnswerBytes: 1 << 20,
+		})
+	}
+	return doc
+}
+
+func documentRows(keys int) ([]DecisionRow, error) {
+	doc := fleetDocument(keys)
+	before, err := doc.Encode()
+	if err != nil {
+		return nil, err
+	}
+	doc.Organisations[len(doc.Organisations)/2].Rate = 7
+	after, err := doc.Encode()
+	if err != nil {
+		return nil, err
+	}
+	from := revision.NewState([]revision.Value{{Name: config.DocumentKey, Revision: 1, Data: before}})
+	to := revision.NewState([]revision.Value{{Name: config.DocumentKey, Revision: 2, Data: after}})
+	delta := revision.Diff(from, to)
+	_, snapshotBytes := heapGrowth(func() any {
+		decoded := &config.Document{}
+		_ = json.Unmarshal(after, decoded)
+		return config.NewSnapshot(decoded, 2)
+	})
+	return []DecisionRow{
+		{Name: "document bytes", Entries: len(after)},
+		{Name: "revision diff", Entries: len(after), Nanos: nanos(func(int) { revision.Diff(from, to) })},
+		{Name: "revision apply", Entries: len(after), Nanos: nanos(func(int) { _, _ = revision.Apply(from, delta) })},
+		{Name: "document decode and compile", Entries: len(after), BytesPerEntry: snapshotBytes / float64(len(after)), Nanos: nanos(func(int) {
+			decoded := &config.Document{}
+			_ = json.Unmarshal(after, decoded)
+			config.NewSnapshot(decoded, 2)
+		})},
+	}, nil
+}
+
+func quotaDecision(holders int) DecisionRow {
+	now := time.Now()
+	limit := quota.Limit{Rate: 10_000, Burst: 10_000}
+	built, bytes := heapGrowth(func() any {
+		owner := quota.NewOwner(now, 1, limit, true)
+		for i := range holders {
+			askOwner(owner, i, now, 1, limit)
+		}
+		return owner
+	})
+	owner := built.(*quota.Owner)
+	handle := nanos(func(number int) {
+		askOwner(owner, number%holders, now.Add(time.Duration(number)*time.Millisecond), uint64(2+number), limit)
+	})
+	runtime.KeepAlive(owner)
+	return DecisionRow{Name: "quota ask", Entries: holders, Nanos: handle, BytesPerEntry: bytes / float64(holders)}
+}
+
+func askOwner(owner *quota.Owner, holder int, now time.Time, number uint64, limit quota.Limit) {
+	from := quota.HolderID{VM: fmt.Sprintf("vm-%05d", holder), Incarnation: 1}
+	_, _, _ = owner.Handle(now, from, quota.Ask{Organisation: "org", Term: 1, Number: number, Demand: 10, Want: 1, Limit: limit})
+}
+
+func ledgerRow(entries int) DecisionRow {
+	now := time.Now()
+	signer := ledger.NewSigner("0123456789abcdef")
+	id := func(number int) string {
+		scope := ledger.Scope{Organisation: "org", Route: "charge"}
+		text, _ := signer.Mint(scope, call.Pin{VM: "vm-00001", Incarnation: 1}, ledger.NewNonce(), now.Add(time.Duration(number)))
+		return text
+	}
+	built, bytes := heapGrowth(func() any {
+		l := ledger.New(ledger.Options{Validity: time.Hour, MaxEntries: entries, MaxAnswerBytes: 1 << 20})
+		for i := range entries {
+			text := id(i)
+			l.Begin(text, now.Add(time.Duration(i)), ledger.Fingerprint{1}, now)
+			l.Finish(text, &ledger.Answer{Reply: &call.Reply{Outcome: call.Answered}})
+		}
+		return l
+	})
+	l := built.(*ledger.Ledger)
+	begin := nanos(func(number int) {
+		text := id(entries + number)
+		l.Begin(text, now.Add(time.Duration(entries+number)), ledger.Fingerprint{1}, now)
+		l.Finish(text, &ledger.Answer{Reply: &call.Reply{Outcome: call.Answered}})
+	})
+	runtime.KeepAlive(l)
+	return DecisionRow{Name: "ledger begin and finish", Entries: entries, Nanos: begin, BytesPerEntry: bytes / float64(entries)}
+}
