Choose VMs by what was seen of them, not by what they say

Cause: the picker took any VM of the nearest failure domain. An upstream that announces itself and fails everything kept its share of the requests; a cold one got its full share at once.

Excluded: health and load stated by upstreams (they lag and mislead); ejection by a VM's own failures alone (a failure deeper in the chain would eject half of a healthy service, and did in a property test); the rendezvous module (it gives one winner, not the k best).

Change: routing.Balancer: subset by rendezvous hash, tiers with spill by load, the cheaper of two random choices, ejection against peers with a floor, ramp of new VMs, a token bucket for bytes to other regions. The announcement takes the upstream's own statements and nothing uses them.

--- /dev/null
+++ b/internal/bench/lying.go
@@ -0,0 +1,208 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/load"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/jsonc"
+	"github.com/mangomast/mangomast/membership"
+)
+
+func init() {
+	Register(Case{Name: "lying-health", Help: "one upstream says healthy and fails, one says overloaded and is fine, one starts cold", Run: runLyingHealth})
+}
+
+const (
+	lyingSlots      = 8
+	lyingWorkMicros = 40_000
+	// lyingRate is 1.5 times what one VM can do; two and the cold one are
+	// left to carry it, so the best possible is that all succeed.
+	lyingRate        = 300
+	lyingDuration    = 6 * time.Second
+	minLyingGoodput  = 0.95
+	lyingColdMillis  = 4000
+	lyingColdFactor  = 5
+	coldStartsAfter  = time.Second
+	lyingVMs         = 4
+	lyingDeadline    = 2 * time.Second
+	lyingRetryBudget = 2
+)
+
+// The four VMs of the service; the rest of the fleet are ingress nodes.
+const (
+	failingVM = iota
+	coldVM
+	honestVM
+	modestVM
+)
+
+// lyingVariant is one setting of the nodes.
+type lyingVariant struct {
+	name     string
+	dispatch string
+	retries  int
+	// gate is set if the promise must hold.
+	gate bool
+}
+
+func lyingVariants() []lyingVariant {
+	return []lyingVariant{
+		{name: "as shipped", dispatch: `{}`, retries: lyingRetryBudget, gate: true},
+		{name: "no retries", dispatch: `{}`, gate: true},
+		{name: "no retries, no ejection", dispatch: `{"routing": {"eject_failures": 0}}`},
+		{name: "no retries, nothing learned", dispatch: `{"routing": {"policy": "near"}}`},
+	}
+}
+
+type lyingRow struct {
+	Variant string  `json:"variant"`
+	Sent    int     `json:"sent"`
+	OK      int     `json:"ok"`
+	Goodput float64 `json:"goodput_of_best"`
+	P99Ms   int64   `json:"p99_ms"`
+	// Runs are those at the failing, the cold, the honest and the modest VM.
+	Runs []int `json:"runs"`
+}
+
+type lyingFigures struct {
+	Rows []lyingRow `json:"variants"`
+}
+
+func runLyingHealth(ctx context.Context, env *Env) (*Report, error) {
+	figures := &lyingFigures{}
+	report := &Report{Holds: true, Figures: figures, Header: []string{
+		"variant", "sent", "ok", "goodput of best", "p99 ms", "runs at failing", "cold", "honest", "says overloaded",
+	}}
+	duration := env.Duration
+	if duration == 0 {
+		duration = lyingDuration
+	}
+	for _, variant := range lyingVariants() {
+		row, err := runLyingVariant(ctx, variant, duration)
+		if err != nil {
+			return nil, err
+		}
+		figures.Rows = append(figures.Rows, row)
+		report.Rows = append(report.Rows, row.cells())
+		report.Holds = report.Holds && (!variant.gate || row.Goodput >= minLyingGoodput)
+	}
+	return report, nil
+}
+
+func (r lyingRow) cells() []string {
+	cells := []string{r.Variant, fmt.Sprint(r.Sent), fmt.Sprint(r.OK), fmt.Sprintf("%.4f", r.Goodput), fmt.Sprint(r.P99Ms)}
+	for _, runs := range r.Runs {
+		cells = append(cells, fmt.Sprint(runs))
+	}
+	return cells
+}
+
+// lyingFleet has the four VMs of the service, then four ingress nodes.
+func lyingFleet(settings string) []rig.NodeSpec {
+	nodes := Spread("fares", lyingVMs, lyingSlots, standin.Behaviour{WorkMicros: lyingWorkMicros, Jitter: 0.2})
+	nodes[failingVM].Behaviour.FailPercent = 100
+	nodes[failingVM].Behaviour.WorkMicros = 500
+	nodes[failingVM].Behaviour.SaysHealth = "healthy"
+	nodes[coldVM].Behaviour.ColdMillis = lyingColdMillis
+	nodes[coldVM].Behaviour.ColdFactor = lyingColdFactor
+	nodes[modestVM].Behaviour.SaysHealth = "overloaded"
+	nodes[modestVM].Behaviour.SaysLoad = 1
+	nodes = append(nodes, Spread("front", len(places), 10, standin.Behaviour{})...)
+	for i := range nodes {
+		nodes[i].Modules = map[string]json.RawMessage{"dispatch": json.RawMessage(settings)}
+	}
+	return nodes
+}
+
+func runLyingVariant(ctx context.Context, variant lyingVariant, duration time.Duration) (lyingRow, error) {
+	doc := &config.Document{}
+	keys := NewOrganisations(doc, 1, 1e6, 1e6)
+	AddService(doc, "front", nil)
+	AddService(doc, "fares", func(r *config.Route) {
+		r.Deadline = jsonc.Duration(lyingDeadline)
+		r.RetryBudget = variant.retries
+	})
+	nodes := lyingFleet(variant.dispatch)
+	AddDomains(doc, nodes)
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return lyingRow{}, err
+	}
+	defer fleet.Close()
+	delayBetweenRegions(fleet)
+	if err := stopUpstream(ctx, fleet, coldVM); err != nil {
+		return lyingRow{}, err
+	}
+	started := make(chan error, 1)
+	go func() {
+		time.Sleep(coldStartsAfter)
+		started <- fleet.StartUpstream(fleet.Nodes[coldVM])
+	}()
+	result := sendToFronts(ctx, fleet, keys[0], duration)
+	if err := <-started; err != nil {
+		return lyingRow{}, err
+	}
+	return lyingCounts(ctx, fleet, variant, result)
+}
+
+func delayBetweenRegions(fleet *rig.Rig) {
+	fleet.Network.SetRule(func(source, listener string) rig.Faults {
+		from, to := rig.RegionOf(fleet, source), rig.RegionOf(fleet, listener)
+		if from != to && from != "" && to != "" {
+			return rig.Faults{Delay: crossRegionDelay}
+		}
+		return rig.Faults{}
+	})
+}
+
+// stopUpstream ends a VM's upstream and waits until no node counts on it.
+func stopUpstream(ctx context.Context, fleet *rig.Rig, index int) error {
+	stopped := fleet.Nodes[index]
+	stopped.Upstream.Kill()
+	for _, node := range fleet.Nodes {
+		for ready := true; ready; {
+			status, err := fleet.Status(ctx, node)
+			if err != nil {
+				return err
+			}
+			ready = false
+			for _, entry := range status.Members {
+				ready = ready || (entry.VM == stopped.Spec.VM && entry.State == membership.Ready)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// sendToFronts sends the load through the ingress nodes in turn.
+func sendToFronts(ctx context.Context, fleet *rig.Rig, key Key, duration time.Duration) *load.Result {
+	client := newCaller(2 * lyingDeadline)
+	fronts := fleet.Nodes[lyingVMs:]
+	return load.Run(ctx, load.Options{Rate: lyingRate, Duration: duration, Do: func(ctx context.Context, number int) load.Sample {
+		target := "http://" + fronts[number%len(fronts)].Callers + "/fares/quote?bytes=512"
+		return load.Sample{OK: get(ctx, client, target, key) == nil}
+	}})
+}
+
+func lyingCounts(ctx context.Context, fleet *rig.Rig, variant lyingVariant, result *load.Result) (lyingRow, error) {
+	row := lyingRow{
+		Variant: variant.name, Sent: result.All.Sent, OK: result.All.OK,
+		Goodput: float64(result.All.OK) / float64(max(1, result.All.Sent)),
+		P99Ms:   result.All.Quantile(99).Milliseconds(),
+	}
+	for _, node := range fleet.Nodes[:lyingVMs] {
+		report, err := fleet.Report(ctx, node)
+		if err != nil {
+			return row, err
+		}
+		row.Runs = append(row.Runs, report.Total)
+	}
+	return row, nil
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -48,6 +48,14 @@
 	Next []string `json:"next"`
 	// ChildTimeoutMicros bounds each try of a call; 0 for no bound of its own.
 	ChildTimeoutMicros int `json:"child_timeout_us"`
+	// ColdMillis is the time after its start in which the upstream is slower,
+	// at first by ColdFactor, then less and less.
+	ColdMillis int     `json:"cold_ms"`
+	ColdFactor float64 `json:"cold_factor"`
+	// SaysHealth and SaysLoad are what the upstream announces of itself; they
+	// need not be true.
+	SaysHealth string  `json:"says_health"`
+	SaysLoad   float64 `json:"says_load"`
 	// ChildRetries is the number of times a failed call is sent again by the
 	// upstream itself.
 	ChildRetries int `json:"child_retries"`
@@ -90,11 +98,12 @@
 
 // Upstream is a stand-in for a service's program on one VM.
 type Upstream struct {
-	slots  chan struct{}
-	egress string
-	crash  func()
-	leave  func()
-	client *http.Client
+	started time.Time
+	slots   chan struct{}
+	egress  string
+	crash   func()
+	leave   func()
+	client  *http.Client
 	// journal is guarded by mu.
 	journal io.Writer
 
@@ -106,6 +115,7 @@
 // NewUpstream returns an upstream; it is an http.Handler.
 func NewUpstream(opts UpstreamOptions) *Upstream {
 	return &Upstream{
+		started:   time.Now(),
 		slots:     make(chan struct{}, opts.Slots),
 		egress:    opts.Egress,
 		crash:     opts.Crash,
@@ -216,10 +226,16 @@
 	return false
 }
 
+// coldness returns the factor on the work time at an age of the upstream.
+func (b Behaviour) coldness(age time.Duration) float64 {
+	left := 1 - age.Seconds()*1000/float64(max(1, b.ColdMillis))
+	return 1 + max(0, left)*max(0, b.ColdFactor-1)
+}
+
 // work holds the slot for the work time, or until the request is cancelled.
 func (u *Upstream) work(r *http.Request, b Behaviour) {
-	spread := 1 + b.Jitter*(2*rand.Float64()-1)
 	started := time.Now()
+	spread := (1 + b.Jitter*(2*rand.Float64()-1)) * b.coldness(started.Sub(u.started))
 	timer := time.NewTimer(time.Duration(float64(b.WorkMicros)*spread) * time.Microsecond)
 	defer timer.Stop()
 	select {
@@ -320,6 +336,9 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Leaving     bool   `json:"leaving"`
+	// Health and Load are what the upstream says of itself.
+	Health string  `json:"health,omitempty"`
+	Load   float64 `json:"load,omitempty"`
 
 	mu sync.Mutex
 }
--- a/plugin/dispatch/dispatch.go
+++ b/plugin/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/ledger"
 	"github.com/mangomast/mangomast/membership"
@@ -30,7 +31,7 @@
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
 		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID, inbound.ID, retryplugin.ID},
-		New:   func() kernel.Module { return &Module{} },
+		New:   func() kernel.Module { return &Module{Routing: defaultRouting()} },
 	})
 }
 
@@ -46,6 +47,9 @@
 
 // Module implements Dispatcher over the mesh.
 type Module struct {
+	// Routing says how VMs are chosen.
+	Routing Routing `json:"routing"`
+
 	clock   clockwork.Clock
 	log     log.Interface
 	mesh    *mesh.Mesh
@@ -58,10 +62,16 @@
 }
 
 var (
-	_ kernel.Module = (*Module)(nil)
-	_ Dispatcher    = (*Module)(nil)
+	_ kernel.Module    = (*Module)(nil)
+	_ kernel.Validator = (*Module)(nil)
+	_ Dispatcher       = (*Module)(nil)
 )
 
+// Validate implements kernel.Validator.
+func (m *Module) Validate(prefix string, findings *finding.List) {
+	m.Routing.validate(prefix+"/routing", findings)
+}
+
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
 	var err error
@@ -79,7 +89,7 @@
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.signer = ledger.NewSigner(ctx.Node.FleetSecret)
-	m.picker = &routing.Near{FailureDomain: ctx.Node.FailureDomain, Region: ctx.Node.Region}
+	m.picker = m.Routing.picker(ctx.Node)
 	kernel.Provide[Dispatcher](ctx, m)
 	return nil
 }
--- a/plugin/dispatch/run.go
+++ b/plugin/dispatch/run.go
@@ -55,8 +55,11 @@
 }
 
 func (d *dispatch) pick() (membership.Entry, bool) {
-	attempt := routing.Attempt{Head: &d.head, Tried: d.tried, Now: d.clock.Now()}
-	return d.picker.Pick(attempt, d.members.View().Service(d.head.Service))
+	return d.picker.Pick(d.attempt(), d.members.View().Service(d.head.Service))
+}
+
+func (d *dispatch) attempt() routing.Attempt {
+	return routing.Attempt{Head: &d.head, Tried: d.tried, Now: d.clock.Now()}
 }
 
 // truthful turns a refusal into an unknown outcome if an earlier try of the
--- a/plugin/dispatch/send.go
+++ b/plugin/dispatch/send.go
@@ -17,10 +17,13 @@
 	head := d.head
 	head.RetryBudget = d.lend()
 	started := d.clock.Now()
-	d.picker.Begin(entry.VM, started)
+	d.picker.Begin(d.attempt(), entry)
 	reply, answer := d.send(ctx, entry, &head)
 	now := d.clock.Now()
-	d.picker.Done(routing.Result{VM: entry.VM, Reply: reply, Latency: now.Sub(started), Now: now})
+	d.picker.Done(routing.Result{
+		Entry: entry, Head: &d.head, Reply: reply, Latency: now.Sub(started),
+		Bytes: len(d.body) + max(0, int(reply.Length)), Now: now,
+	})
 	d.leaves.observe(d.head.Service, reply)
 	d.budget.Settle(head.RetryBudget, reply.RetriesUsed)
 	return reply, answer
--- a/plugin/inbound/upstream.go
+++ b/plugin/inbound/upstream.go
@@ -35,6 +35,11 @@
 	TTLMillis int `json:"ttl_ms"`
 	// Leaving asks for no new work.
 	Leaving bool `json:"leaving"`
+	// Health and Load are what the upstream says of itself. They are accepted
+	// for upstreams that send them, and decide nothing: such statements lag
+	// behind or mislead, so routing goes by what nodes see.
+	Health string  `json:"health,omitempty"`
+	Load   float64 `json:"load,omitempty"`
 }
 
 func (a *Announcement) ttl() time.Duration {
--- /dev/null
+++ b/routing/balancer_test.go
@@ -0,0 +1,236 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/membership"
+)
+
+var (
+	testPlace = Place{FailureDomain: "riga-a", Region: "riga"}
+	testStart = time.Unix(1000, 0)
+	testHead  = &call.Head{Service: "fares", Route: "quote"}
+)
+
+func entries(count int, domains ...string) []membership.Entry {
+	list := make([]membership.Entry, count)
+	for i := range list {
+		domain := domains[i%len(domains)]
+		list[i] = membership.Entry{
+			VM: fmt.Sprintf("vm-%d", i), Incarnation: 1, Slots: 10,
+			FailureDomain: domain, Region: domain[:len(domain)-2], State: membership.Ready,
+		}
+	}
+	return list
+}
+
+func newTestBalancer(seed uint64, edit func(*Options)) *Balancer {
+	opts := DefaultOptions()
+	opts.Self, opts.Place = "self", testPlace
+	opts.Rand = rand.New(rand.NewPCG(seed, 1)).Float64
+	if edit != nil {
+		edit(&opts)
+	}
+	return NewBalancer(opts)
+}
+
+func answered(status int) *call.Reply {
+	return &call.Reply{Outcome: call.Answered, Status: status}
+}
+
+// send plays one request and returns the VM that it went to.
+func send(b *Balancer, list []membership.Entry, now time.Time, reply func(vm string) *call.Reply) string {
+	attempt := Attempt{Head: testHead, Now: now}
+	entry, ok := b.Pick(attempt, list)
+	if !ok {
+		return ""
+	}
+	b.Begin(attempt, entry)
+	b.Done(Result{Entry: entry, Head: testHead, Reply: reply(entry.VM), Latency: time.Millisecond, Now: now})
+	return entry.VM
+}
+
+func TestSubsetChangesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := entries(rapid.IntRange(1, 60).Draw(t, "count"), "riga-a")
+		size := rapid.IntRange(1, 20).Draw(t, "size")
+		before := Subset("self", list, size)
+		assert.Equal(t, len(before), min(size, len(list)))
+		gone := rapid.IntRange(0, len(list)-1).Draw(t, "gone")
+		after := Subset("self", slices.Delete(slices.Clone(list), gone, gone+1), size)
+		left := 0
+		for _, entry := range before {
+			if !slices.Contains(after, entry) {
+				left++
+				assert.Equal(t, entry.VM, list[gone].VM)
+			}
+		}
+		assert.Assert(t, left <= 1)
+	})
+}
+
+func TestPickTakesOnlyUntriedVMs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := entries(rapid.IntRange(0, 8).Draw(t, "count"), "riga-a", "riga-b", "jurmala-a")
+		b := newTestBalancer(rapid.Uint64().Draw(t, "seed"), nil)
+		attempt := Attempt{Head: testHead, Now: testStart}
+		for range len(list) {
+			entry, ok := b.Pick(attempt, list)
+			assert.Assert(t, ok && !slices.Contains(attempt.Tried, entry.VM))
+			attempt.Tried = append(attempt.Tried, entry.VM)
+		}
+		_, ok := b.Pick(attempt, list)
+		assert.Assert(t, !ok)
+	})
+}
+
+func TestFailingVMIsLeftOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := entries(rapid.IntRange(2, 8).Draw(t, "count"), "riga-a")
+		b := newTestBalancer(rapid.Uint64().Draw(t, "seed"), nil)
+		runs := 0
+		const requests = 1000
+		for i := range requests {
+			now := testStart.Add(time.Duration(i) * 5 * time.Millisecond)
+			send(b, list, now, func(vm string) *call.Reply {
+				if vm == "vm-0" {
+					runs++
+					return answered(http.StatusInternalServerError)
+				}
+				return answered(http.StatusOK)
+			})
+		}
+		assert.Assert(t, runs <= requests/50, "%d of %d requests went to the failing VM of %d", runs, requests, len(list))
+	})
+}
+
+// TestEjectionLeavesEnough lets VMs fail at random: never may more than the
+// allowed share be out, and only the one that failed first if all fail alike.
+func TestEjectionLeavesEnough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 9).Draw(t, "count")
+		list := entries(count, "riga-a", "riga-b")
+		b := newTestBalancer(rapid.Uint64().Draw(t, "seed"), nil)
+		alike := rapid.Bool().Draw(t, "all fail alike")
+		rates := map[string]float64{}
+		for _, entry := range list {
+			rates[entry.VM] = rapid.Float64Range(0, 1).Draw(t, entry.VM)
+		}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "failures"), 2))
+		for i := range 400 {
+			now := testStart.Add(time.Duration(i) * 10 * time.Millisecond)
+			vm := send(b, list, now, func(vm string) *call.Reply {
+				if alike || random.Float64() < rates[vm] {
+					return answered(http.StatusBadGateway)
+				}
+				return answered(http.StatusOK)
+			})
+			assert.Assert(t, vm != "", "no VM was picked")
+			out := 0
+			for _, v := range b.vms {
+				if v.ejected(now) {
+					out++
+				}
+			}
+			assert.Assert(t, float64(out) <= b.opts.Outliers.MaxShare*float64(count), "%d of %d ejected", out, count)
+			assert.Assert(t, !alike || out <= 1, "%d ejected though all fail alike", out)
+		}
+	})
+}
+
+func TestSlowVMIsEjectedOnlyIfTheRestCanBearIt(t *testing.T) {
+	for _, running := range []int{1, 10} {
+		list := entries(3, "riga-a")
+		b := newTestBalancer(1, func(o *Options) { o.Ramp = 0 })
+		for i := range 600 {
+			now := testStart.Add(time.Duration(i) * 5 * time.Millisecond)
+			for _, entry := range list {
+				latency := 10 * time.Millisecond
+				if entry.VM == "vm-0" {
+					latency = 100 * time.Millisecond
+				}
+				reply := answered(http.StatusOK)
+				reply.Load = call.Load{Running: running, Limit: 10}
+				attempt := Attempt{Head: testHead, Now: now}
+				_, _ = b.Pick(attempt, list)
+				b.Begin(attempt, entry)
+				b.Done(Result{Entry: entry, Head: testHead, Reply: reply, Latency: latency, Now: now})
+			}
+		}
+		assert.Equal(t, b.vms["vm-0"].ejections > 0, running == 1, "running %d", running)
+		assert.Equal(t, b.vms["vm-1"].ejections, 0)
+	}
+}
+
+func TestNewVMRampsUp(t *testing.T) {
+	list := entries(4, "riga-a")
+	b := newTestBalancer(1, nil)
+	share := func(list []membership.Entry, from time.Time) int {
+		runs := 0
+		for i := range 1000 {
+			if send(b, list, from.Add(time.Duration(i)*time.Millisecond), func(string) *call.Reply { return answered(http.StatusOK) }) == "vm-3" {
+				runs++
+			}
+		}
+		return runs
+	}
+	share(slices.Clone(list[:3]), testStart)
+	later := testStart.Add(time.Minute)
+	cold := share(list, later)
+	warm := share(list, later.Add(b.opts.Ramp))
+	assert.Assert(t, cold < 100, "%d of 1000 requests in the first second", cold)
+	assert.Assert(t, warm > 150, "%d of 1000 requests after the ramp", warm)
+}
+
+// TestSpillFollowsLoad fills the own domain and then the own region.
+func TestSpillFollowsLoad(t *testing.T) {
+	list := entries(3, "riga-a", "riga-b", "jurmala-a")
+	b := newTestBalancer(1, func(o *Options) { o.Ramp = 0 })
+	var domains []string
+	for range 25 {
+		attempt := Attempt{Head: testHead, Now: testStart}
+		entry, ok := b.Pick(attempt, list)
+		assert.Assert(t, ok)
+		b.Begin(attempt, entry)
+		domains = append(domains, entry.FailureDomain)
+	}
+	assert.DeepEqual(t, domains[:7], slices.Repeat([]string{"riga-a"}, 7))
+	assert.Equal(t, domains[7], "riga-b")
+	first := slices.Index(domains, "jurmala-a")
+	assert.Assert(t, first >= 16, "spilled to the other region at request %d", first)
+}
+
+// TestSpillBytesAreBounded keeps the own region full: what crosses must stay
+// within burst + rate * time + the requests in progress.
+func TestSpillBytesAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, burst, answer = 10e3, 20_000, 5_000
+		list := entries(2, "riga-a", "jurmala-a")
+		b := newTestBalancer(1, func(o *Options) { o.SpillBytesPerSecond, o.SpillBurstBytes, o.Ramp = rate, burst, 0 })
+		crossed := 0
+		step := time.Duration(rapid.IntRange(1, 50).Draw(t, "step ms")) * time.Millisecond
+		for i := range 500 {
+			now := testStart.Add(time.Duration(i) * step)
+			attempt := Attempt{Head: testHead, Now: now}
+			entry, ok := b.Pick(attempt, list)
+			assert.Assert(t, ok)
+			b.Begin(attempt, entry)
+			if entry.Region != "riga" {
+				crossed += answer
+				b.Done(Result{Entry: entry, Head: testHead, Reply: answered(http.StatusOK), Bytes: answer, Now: now})
+			}
+			allowed := burst + rate*(time.Duration(i)*step).Seconds() + answer
+			assert.Assert(t, float64(crossed) <= allowed, "%d bytes crossed, %g allowed", crossed, allowed)
+		}
+		assert.Assert(t, crossed > 0)
+	})
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,9 +1,13 @@
 // Package routing decides which VM serves a request. It has no goroutine,
 // socket, clock or random source of its own.
+//
+// Balancer is the picker of ordinary nodes. It works on a subset of the VMs of
+// each service, prefers near ones, chooses the better of two at random by load
+// and latency, and leaves out VMs that were seen to fail.
 package routing
 
 import (
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mangomast/mangomast/call"
@@ -20,87 +24,84 @@
 
 // Result is what became of a try, handed back to the picker.
 type Result struct {
-	VM string
-	// Reply is nil if the connection failed.
+	Entry   membership.Entry
+	Head    *call.Head
 	Reply   *call.Reply
 	Latency time.Duration
-	Now     time.Time
+	// Bytes is the size of the request and its answer, as far as known.
+	Bytes int
+	Now   time.Time
 }
 
 // Picker chooses VMs. It is safe for concurrent use.
 type Picker interface {
 	// Pick returns one of the candidates; ok is false if none fits.
 	Pick(attempt Attempt, candidates []membership.Entry) (entry membership.Entry, ok bool)
-	// Begin records that a try is sent to a VM; Done must follow.
-	Begin(vm string, now time.Time)
+	// Begin records that a try is sent to the VM; Done must follow.
+	Begin(attempt Attempt, entry membership.Entry)
 	// Done records the result of a try.
 	Done(result Result)
 }
 
-// Near is a picker that prefers the own failure domain, then the own region,
-// and chooses at random among the nearest.
-type Near struct {
+// Place is where a node is.
+type Place struct {
 	FailureDomain string
 	Region        string
-	// Rand returns a uniform number in [0, n).
-	Rand func(n int) int
 }
 
-var _ Picker = (*Near)(nil)
+// tier says how near a VM is.
+type tier int
 
-// Pick implements Picker.
-func (p *Near) Pick(attempt Attempt, candidates []membership.Entry) (membership.Entry, bool) {
-	nearest := p.nearest(attempt, candidates)
-	if len(nearest) == 0 {
-		return membership.Entry{}, false
-	}
-	random := p.Rand
-	if random == nil {
-		random = rand.IntN
+const (
+	ownDomain tier = iota
+	ownRegion
+	otherRegion
+	tiers
+)
+
+func (p Place) tier(entry membership.Entry) tier {
+	switch {
+	case entry.FailureDomain == p.FailureDomain:
+		return ownDomain
+	case entry.Region == p.Region:
+		return ownRegion
+	default:
+		return otherRegion
 	}
-	return nearest[random(len(nearest))], true
 }
 
-// Begin implements Picker.
-func (p *Near) Begin(string, time.Time) {}
+// Near is a picker that chooses at random among the nearest VMs and learns
+// nothing. It is the baseline that Balancer is measured against.
+type Near struct {
+	Place Place
+	// Rand returns a uniform number in [0, 1).
+	Rand func() float64
+}
 
-// Done implements Picker.
-func (p *Near) Done(Result) {}
+var _ Picker = (*Near)(nil)
 
-func (p *Near) nearest(attempt Attempt, candidates []membership.Entry) []membership.Entry {
+// Pick implements Picker.
+func (p *Near) Pick(attempt Attempt, candidates []membership.Entry) (membership.Entry, bool) {
 	var nearest []membership.Entry
-	best := -1
+	best := tiers
 	for _, entry := range candidates {
-		if contains(attempt.Tried, entry.VM) {
+		t := p.Place.tier(entry)
+		if t > best || slices.Contains(attempt.Tried, entry.VM) {
 			continue
 		}
-		proximity := p.proximity(entry)
-		if proximity > best {
-			nearest, best = nearest[:0], proximity
-		}
-		if proximity == best {
-			nearest = append(nearest, entry)
+		if t < best {
+			nearest, best = nearest[:0], t
 		}
+		nearest = append(nearest, entry)
 	}
-	return nearest
-}
-
-func (p *Near) proximity(entry membership.Entry) int {
-	switch {
-	case entry.FailureDomain == p.FailureDomain:
-		return 2
-	case entry.Region == p.Region:
-		return 1
-	default:
-		return 0
+	if len(nearest) == 0 {
+		return membership.Entry{}, false
 	}
+	return nearest[int(p.Rand()*float64(len(nearest)))], true
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
+// Begin implements Picker.
+func (p *Near) Begin(Attempt, membership.Entry) {}
+
+// Done implements Picker.
+func (p *Near) Done(Result) {}
