--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -1,10 +1,13 @@
 package bench
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
+	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/internal/rig"
 	"github.com/mangomast/mangomast/internal/standin"
@@ -95,3 +98,20 @@
 		Transport: &http.Transport{MaxIdleConnsPerHost: idle, MaxIdleConns: idle},
 	}
 }
+
+// getStatus sends a request with a key, reads the whole answer, and returns
+// its status and the reason that mangomast gave.
+func getStatus(ctx context.Context, client *http.Client, target string, key Key) (status int, reason string, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+key.Secret)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Header.Get(call.HeaderReason), err
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -68,6 +68,9 @@
 	Organisations map[string]int `json:"organisations"`
 	// LastRunUnixMicros is when the last run began.
 	LastRunUnixMicros int64 `json:"last_run_unix_us"`
+	// LastRunOf is when the last run for each organisation began, in
+	// microseconds of Unix time.
+	LastRunOf map[string]int64 `json:"last_run_of_unix_us"`
 }
 
 // UpstreamOptions are the inputs of NewUpstream.
@@ -101,7 +104,7 @@
 		crash:     opts.Crash,
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: opts.Slots}},
 		behaviour: opts.Behaviour,
-		report:    Report{Runs: map[string]int{}, BusyByID: map[string]int64{}, Organisations: map[string]int{}},
+		report:    Report{Runs: map[string]int{}, BusyByID: map[string]int64{}, Organisations: map[string]int{}, LastRunOf: map[string]int64{}},
 	}
 }
 
@@ -170,7 +173,9 @@
 	defer u.mu.Unlock()
 	u.report.Total++
 	u.report.LastRunUnixMicros = time.Now().UnixMicro()
-	u.report.Organisations[r.Header.Get(call.HeaderOrganisation)]++
+	organisation := r.Header.Get(call.HeaderOrganisation)
+	u.report.Organisations[organisation]++
+	u.report.LastRunOf[organisation] = u.report.LastRunUnixMicros
 	if id := r.Header.Get(HeaderTestID); id != "" {
 		u.report.Runs[id]++
 	}
