Measure traffic and the load on the store through an outage

Change: mangomast-bench store-outage sends a constant load to 16 VMs while the store is well, down, back and slow by 500 ms, and counts the calls that reach it; store-outage-unwitnessed does the same without witnesses. The delay after a failed read starts at 0.8 s instead of 0.5 s.

--- /dev/null
+++ b/internal/bench/outage.go
@@ -0,0 +1,198 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/load"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+)
+
+func init() {
+	Register(Case{Name: "store-outage", Help: "the store down for 20 s (--for), then slow: goodput, and the load on it when it returns", Run: runStoreOutage})
+	Register(Case{Name: "store-outage-unwitnessed", Help: "the same without witnesses; holds if callers are refused", Run: runUnwitnessed})
+}
+
+const (
+	outageRate      = 400
+	defaultOutage   = 20 * time.Second
+	outagePhase     = 5 * time.Second
+	minOutageShare  = 0.99
+	maxReturnFactor = 2
+	// storeSample is the window in which the load on the store is counted.
+	storeSample = 1 * time.Second
+	phaseDown   = "down"
+)
+
+// outagePhaseRow is one phase of the store-outage case.
+type outagePhaseRow struct {
+	Phase string `json:"phase"`
+	Sent  int    `json:"sent"`
+	OK    int    `json:"ok"`
+	// StorePerSecond and StorePeak are the calls that reached the store, on
+	// average and in the worst second; refused ones count.
+	StorePerSecond float64 `json:"store_calls_per_second"`
+	StorePeak      int64   `json:"store_peak_per_second"`
+	// Waiting is the number of watches open at the phase's end.
+	Waiting int64 `json:"watches_waiting"`
+}
+
+func (r outagePhaseRow) goodput() float64 { return float64(r.OK) / max(1, float64(r.Sent)) }
+
+type outageFigures struct {
+	Phases []outagePhaseRow `json:"phases"`
+}
+
+func runStoreOutage(ctx context.Context, env *Env) (*Report, error) {
+	outage := env.Duration
+	if outage == 0 {
+		outage = defaultOutage
+	}
+	return measureOutage(ctx, nil, outage)
+}
+
+func runUnwitnessed(ctx context.Context, _ *Env) (*Report, error) {
+	modules := map[string]json.RawMessage{"config": json.RawMessage(`{"without_witnesses": true}`)}
+	report, err := measureOutage(ctx, modules, outagePhase)
+	if err == nil {
+		report.Holds = !report.Holds
+	}
+	return report, err
+}
+
+func measureOutage(ctx context.Context, modules map[string]json.RawMessage, outage time.Duration) (*Report, error) {
+	doc := &config.Document{}
+	keys := NewOrganisations(doc, 2, 100_000, 100_000)
+	AddService(doc, "fares", nil)
+	nodes := Spread("fares", 16, 40, standin.Behaviour{WorkMicros: 1000})
+	for i := range nodes {
+		nodes[i].Modules = modules
+	}
+	AddDomains(doc, nodes)
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	if err := waitWitnesses(ctx, fleet); err != nil {
+		return nil, err
+	}
+	figures := &outageFigures{}
+	if err := outagePhases(ctx, fleet, keys, outage, figures); err != nil {
+		return nil, err
+	}
+	return figures.report(), nil
+}
+
+// waitWitnesses waits until each failure domain's part of the witness table
+// was written and accepted, as it is long after a fleet's first start.
+func waitWitnesses(ctx context.Context, fleet *rig.Rig) error {
+	const settle = 6 * time.Second
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(settle):
+	}
+	return fleet.WaitReady(ctx)
+}
+
+// outagePhases sends a constant load while the store is well, down, back,
+// slow and well again.
+func outagePhases(ctx context.Context, fleet *rig.Rig, keys []Key, outage time.Duration, figures *outageFigures) error {
+	phases := []struct {
+		name   string
+		faults standin.Faults
+		length time.Duration
+	}{
+		{"normal", standin.Faults{}, outagePhase},
+		{phaseDown, standin.Faults{Outage: true}, outage},
+		{"back", standin.Faults{}, outagePhase},
+		{"slow (500 ms)", standin.Faults{DelayMillis: 500}, outagePhase},
+	}
+	var current atomic.Pointer[string]
+	current.Store(&phases[0].name)
+	client := newCaller(5 * time.Second)
+	loadCtx, stop := context.WithCancel(ctx)
+	done := make(chan *load.Result, 1)
+	go func() {
+		done <- load.Run(loadCtx, load.Options{Rate: outageRate, Duration: time.Hour, Do: func(_ context.Context, number int) load.Sample {
+			phase := *current.Load()
+			node := fleet.Nodes[number%len(fleet.Nodes)]
+			status, _, err := getStatus(ctx, client, "http://"+node.CallersProxy+"/fares/quote", keys[number%len(keys)])
+			return load.Sample{OK: err == nil && status == http.StatusOK, Class: phase}
+		}})
+	}()
+	for _, phase := range phases {
+		if err := fleet.SetStoreFaults(ctx, phase.faults); err != nil {
+			stop()
+			return err
+		}
+		current.Store(&phase.name)
+		row, err := countStore(ctx, fleet, phase.length)
+		if err != nil {
+			stop()
+			return err
+		}
+		row.Phase = phase.name
+		figures.Phases = append(figures.Phases, row)
+	}
+	stop()
+	result := <-done
+	for i := range figures.Phases {
+		row := &figures.Phases[i]
+		if class := result.Classes[row.Phase]; class != nil {
+			row.Sent, row.OK = class.Sent, class.OK
+		}
+	}
+	return nil
+}
+
+// countStore counts the calls on the store for the time.
+func countStore(ctx context.Context, fleet *rig.Rig, length time.Duration) (outagePhaseRow, error) {
+	var row outagePhaseRow
+	first, err := fleet.StoreCounts(ctx)
+	if err != nil {
+		return row, err
+	}
+	started, last := time.Now(), first
+	for time.Since(started) < length {
+		time.Sleep(storeSample)
+		counts, err := fleet.StoreCounts(ctx)
+		if err != nil {
+			return row, err
+		}
+		row.StorePeak = max(row.StorePeak, storeCalls(counts)-storeCalls(last))
+		last = counts
+	}
+	row.StorePerSecond = float64(storeCalls(last)-storeCalls(first)) / time.Since(started).Seconds()
+	row.Waiting = last.Waiting
+	return row, nil
+}
+
+// storeCalls is the number of calls that the platform would count.
+func storeCalls(c standin.Counts) int64 {
+	return c.Reads + c.Writes + c.Leases + c.Watches + c.Failed
+}
+
+func (f *outageFigures) report() *Report {
+	report := &Report{Holds: true, Figures: f, Header: []string{"store", "sent", "goodput", "store calls/s", "worst second", "watches"}}
+	normal := f.Phases[0]
+	for _, row := range f.Phases {
+		report.Rows = append(report.Rows, []string{
+			row.Phase, fmt.Sprint(row.Sent), fmt.Sprintf("%.4f", row.goodput()),
+			fmt.Sprintf("%.1f", row.StorePerSecond), fmt.Sprint(row.StorePeak), fmt.Sprint(row.Waiting),
+		})
+		report.Holds = report.Holds && row.Sent > 0 && row.goodput() >= minOutageShare*normal.goodput()
+		if row.Phase != phaseDown {
+			report.Holds = report.Holds && row.StorePerSecond <= maxReturnFactor*normal.StorePerSecond &&
+				row.StorePeak <= maxReturnFactor*normal.StorePeak
+		}
+	}
+	return report
+}
--- a/plugin/config/acceptance.go
+++ b/plugin/config/acceptance.go
@@ -132,7 +132,7 @@
 func (m *Module) writeWitnesses(ctx context.Context) error {
 	relays, rank := m.members.Position()
 	members, _ := m.members.OwnDomain(time.Time{})
-	if rank != 0 {
+	if rank != 0 || m.WithoutWitnesses {
 		return nil
 	}
 	m.mu.Lock()
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -64,6 +64,9 @@
 	// IgnoreFreshness serves callers under any configuration, however old.
 	// It is for experiments only.
 	IgnoreFreshness bool `json:"ignore_freshness"`
+	// WithoutWitnesses names no witnesses, so that only the store proves
+	// freshness. It is for experiments only.
+	WithoutWitnesses bool `json:"without_witnesses"`
 
 	store   store.Store
 	members *membershipplugin.Module
--- a/plugin/config/reader.go
+++ b/plugin/config/reader.go
@@ -22,7 +22,7 @@
 	readAge  = 400 * time.Millisecond
 	readStep = 800 * time.Millisecond
 	// Bounds of the delay after a failed read; it doubles each time.
-	minBackoff = 500 * time.Millisecond
+	minBackoff = 800 * time.Millisecond
 	maxBackoff = 4 * time.Second
 )
 
