Keep the document in sections, so that a change moves and decodes a part

Cause: each change wrote the whole document under one key, made every failure domain read all of it and every node decode all of it. Change: the document's key holds a head (the change's number and the number at which each section last changed); the elements stand in up to 64 sections for each collection, outside the stream's prefix. One transaction compares the head and writes it with the sections that changed. Readers fetch only sections whose number is new and begin again if one changed in between. The stream carries sections as values. Among routes that match alike, one for a method now goes before one for any, whatever their order. Excluded: sections under the stream's prefix, since relays list the revisions of its keys about twice a second; and compares on each section, since the head orders all changes.

--- a/config/document.go
+++ b/config/document.go
@@ -14,11 +14,11 @@
 // Document is the whole configuration. Its JSON names are the fields that
 // operators edit.
 type Document struct {
-	Organisations []Organisation  `json:"organisations"`
-	Keys          []Key           `json:"keys"`
-	Services      []Service       `json:"services"`
-	Routes        []Route         `json:"routes"`
-	Domains       []FailureDomain `json:"failure_domains"`
+	Organisations []Organisation  `json:"organisations,omitempty"`
+	Keys          []Key           `json:"keys,omitempty"`
+	Services      []Service       `json:"services,omitempty"`
+	Routes        []Route         `json:"routes,omitempty"`
+	Domains       []FailureDomain `json:"failure_domains,omitempty"`
 	Operators     []Operator      `json:"operators,omitempty"`
 	// Change says which write made this version; it is set by the system.
 	Change Change `json:"change,omitzero"`
@@ -145,5 +145,5 @@
 // StreamPrefix starts the keys of the revision stream, after the store's prefix.
 const StreamPrefix = "config/"
 
-// DocumentKey is the document's key in the store, after the prefix.
+// DocumentKey is the key of the document's Head in the store, after the prefix.
 const DocumentKey = "config/document"
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 )
@@ -57,10 +58,29 @@
 	for i := range doc.Routes {
 		s.addRoute(&doc.Routes[i])
 	}
-	slices.SortStableFunc(s.prefixes, func(a, b *Route) int { return len(b.Path) - len(a.Path) })
+	for _, routes := range s.exact {
+		slices.SortFunc(routes, byPrecedence)
+	}
+	slices.SortFunc(s.prefixes, byPrecedence)
 	return s
 }
 
+// byPrecedence orders a longer path before a shorter one, and a route for one
+// method before one for any.
+func byPrecedence(a, b *Route) int {
+	anyLast := strings.Compare(anyMethod(b), anyMethod(a))
+	return cmp.Or(len(b.Path)-len(a.Path), anyLast, strings.Compare(a.ID, b.ID))
+}
+
+// anyMethod returns "*" if the route is for any method, or else "-", which
+// sorts after it.
+func anyMethod(r *Route) string {
+	if r.Method == "*" {
+		return "*"
+	}
+	return "-"
+}
+
 // WithOwners returns the snapshot with another owner table, at the revision
 // of the stream.
 func (s *Snapshot) WithOwners(owners *OwnerTable, stream int64) *Snapshot {
--- a/edit/editor.go
+++ b/edit/editor.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -23,6 +24,9 @@
 	// settleDelay is the pause before a store that gave no answer is asked
 	// again.
 	settleDelay = 200 * time.Millisecond
+	// reread is the pause before a document that changed while it was read is
+	// read again.
+	reread = 10 * time.Millisecond
 )
 
 // Change is one accepted write of the document, kept as history.
@@ -51,6 +55,7 @@
 type Current struct {
 	Document *config.Document
 	Revision int64
+	head     *config.Head
 }
 
 // Editor reads and changes the document in the store. It is safe for
@@ -59,26 +64,60 @@
 	store  store.Store
 	prefix string
 	clock  clockwork.Clock
+
+	mu        sync.Mutex
+	assembler *config.Assembler
 }
 
 // NewEditor returns an editor of the document below the store's prefix.
 func NewEditor(s store.Store, prefix string, clock clockwork.Clock) *Editor {
-	return &Editor{store: s, prefix: prefix, clock: clock}
+	return &Editor{store: s, prefix: prefix, clock: clock, assembler: config.NewAssembler()}
 }
 
-// Read returns the document; an empty one at revision 0 if there is none.
+// Read returns the document, ordered by id; an empty one at revision 0 if there
+// is none.
 func (e *Editor) Read(ctx context.Context) (*Current, error) {
+	for {
+		current, err := e.read(ctx)
+		if !errors.Is(err, config.ErrSectionChanged) {
+			return current, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-e.clock.After(reread):
+		}
+	}
+}
+
+func (e *Editor) read(ctx context.Context) (*Current, error) {
 	listing, err := e.store.Get(ctx, e.prefix+config.DocumentKey)
 	if err != nil {
 		return nil, err
 	}
-	current := &Current{Document: &config.Document{}}
-	for _, record := range listing.Records {
-		current.Revision = record.ModRevision
-		if err := json.Unmarshal(record.Value, current.Document); err != nil {
-			return nil, errors.Wrap(err, "decode the document in the store")
+	current := &Current{Document: &config.Document{}, head: &config.Head{}}
+	if len(listing.Records) == 0 {
+		return current, nil
+	}
+	current.Revision = listing.Records[0].ModRevision
+	if current.head, err = config.ParseHead(listing.Records[0].Value); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	records, err := store.GetMany(ctx, e.store, e.prefix+config.SectionPrefix, e.assembler.Missing(current.head))
+	if err != nil {
+		return nil, err
+	}
+	for _, record := range records {
+		if err := e.assembler.Add(record.Key, record.Value); err != nil {
+			return nil, err
 		}
 	}
+	if current.Document, err = e.assembler.Document(current.head); err != nil {
+		return nil, err
+	}
+	current.Document.Sort()
 	return current, nil
 }
 
@@ -135,7 +174,7 @@
 		Time: e.clock.Now().UTC(), Edits: p.Edits,
 	}
 	doc.Change = config.Change{Number: change.Number, ID: change.ID, Recent: recent(current.Document.Change)}
-	txn, err := e.txn(doc, change, current.Revision)
+	txn, err := e.txn(doc, change, current)
 	if err != nil {
 		return nil, err
 	}
@@ -159,8 +198,14 @@
 	return ids[:min(len(ids), config.RecentChanges)]
 }
 
-func (e *Editor) txn(doc *config.Document, change *Change, base int64) (store.Txn, error) {
-	value, err := doc.Encode()
+// txn writes the head, the sections that changed and the history, if nobody
+// has written the head since.
+func (e *Editor) txn(doc *config.Document, change *Change, base *Current) (store.Txn, error) {
+	head, sections, err := doc.ChangedSections(base.Document, base.head)
+	if err != nil {
+		return store.Txn{}, err
+	}
+	value, err := head.Encode()
 	if err != nil {
 		return store.Txn{}, err
 	}
@@ -170,9 +215,16 @@
 	}
 	key := e.prefix + config.DocumentKey
 	txn := store.Txn{
-		Compares: []store.Compare{{Key: key, Revision: base}},
+		Compares: []store.Compare{{Key: key, Revision: base.Revision}},
 		Puts:     []store.Put{{Key: key, Value: value}, {Key: e.historyKey(change.Number), Value: history}},
 	}
+	for _, section := range sections {
+		data, err := section.Encode()
+		if err != nil {
+			return store.Txn{}, err
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: e.prefix + config.SectionPrefix + section.Name, Value: data})
+	}
 	if change.Number > HistoryLength {
 		txn.Deletes = []string{e.historyKey(change.Number - HistoryLength)}
 	}
@@ -230,6 +282,19 @@
 	return changes, nil
 }
 
+// Replace makes the document equal to the wanted one, whatever others changed.
+func (e *Editor) Replace(ctx context.Context, wanted *config.Document, author string) (*Change, error) {
+	current, err := e.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	edits, err := Diff(current.Document, wanted)
+	if err != nil {
+		return nil, err
+	}
+	return e.Commit(ctx, Proposal{Author: author, Edits: edits})
+}
+
 // Undo proposes the inverse of a past change as a new one.
 func (e *Editor) Undo(ctx context.Context, number uint64, author string) (*Change, error) {
 	change, err := e.change(ctx, number)
--- a/internal/bench/decisions.go
+++ b/internal/bench/decisions.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/mangomast/mangomast/call"
@@ -183,37 +184,94 @@
 	return doc
 }
 
+// sectioned is a document as it is kept: its head and its sections.
+type sectioned struct {
+	head     *config.Head
+	sections []config.NamedSection
+	values   []revision.Value
+	bytes    int
+}
+
+func section(doc, earlier *config.Document, earlierHead *config.Head) (*sectioned, error) {
+	head, changed, err := doc.ChangedSections(earlier, earlierHead)
+	if err != nil {
+		return nil, err
+	}
+	s := &sectioned{head: head, sections: changed}
+	for _, c := range changed {
+		data, err := c.Encode()
+		if err != nil {
+			return nil, err
+		}
+		s.values = append(s.values, revision.Value{Name: config.SectionPrefix + c.Name, Revision: int64(doc.Change.Number), Data: data})
+		s.bytes += len(data)
+	}
+	data, err := head.Encode()
+	s.values = append(s.values, revision.Value{Name: config.DocumentKey, Revision: int64(doc.Change.Number), Data: data})
+	s.bytes += len(data)
+	return s, err
+}
+
+// documentRows measures what one change of one field costs a node.
 func documentRows(keys int) ([]DecisionRow, error) {
 	doc := fleetDocument(keys)
-	before, err := doc.Encode()
+	doc.Change.Number = 1
+	whole, err := section(doc, &config.Document{}, &config.Head{})
 	if err != nil {
 		return nil, err
 	}
-	doc.Organisations[len(doc.Organisations)/2].Rate = 7
-	after, err := doc.Encode()
+	edited := *doc
+	edited.Organisations = slices.Clone(doc.Organisations)
+	edited.Organisations[0].Rate = 7
+	edited.Change.Number = 2
+	change, err := section(&edited, doc, whole.head)
 	if err != nil {
 		return nil, err
 	}
-	from := revision.NewState([]revision.Value{{Name: config.DocumentKey, Revision: 1, Data: before}})
-	to := revision.NewState([]revision.Value{{Name: config.DocumentKey, Revision: 2, Data: after}})
-	delta := revision.Diff(from, to)
+	from := revision.NewState(whole.values)
+	delta := revision.Diff(from, revision.NewState(replaced(whole.values, change.values)))
+	assembler := config.NewAssembler()
+	addAll(assembler, whole.values)
 	_, snapshotBytes := heapGrowth(func() any {
-		decoded := &config.Document{}
-		_ = json.Unmarshal(after, decoded)
-		return config.NewSnapshot(decoded, 2)
+		fresh := config.NewAssembler()
+		addAll(fresh, whole.values)
+		assembled, _ := fresh.Document(whole.head)
+		return config.NewSnapshot(assembled, 1)
 	})
 	return []DecisionRow{
-		{Name: "document bytes", Entries: len(after)},
-		{Name: "revision diff", Entries: len(after), Nanos: nanos(func(int) { revision.Diff(from, to) })},
-		{Name: "revision apply", Entries: len(after), Nanos: nanos(func(int) { _, _ = revision.Apply(from, delta) })},
-		{Name: "document decode and compile", Entries: len(after), BytesPerEntry: snapshotBytes / float64(len(after)), Nanos: nanos(func(int) {
-			decoded := &config.Document{}
-			_ = json.Unmarshal(after, decoded)
-			config.NewSnapshot(decoded, 2)
+		{Name: "document in memory", Entries: whole.bytes, BytesPerEntry: snapshotBytes / float64(whole.bytes)},
+		{Name: "change: bytes written", Entries: whole.bytes, BytesPerEntry: float64(change.bytes) / float64(whole.bytes)},
+		{Name: "change: delta applied", Entries: whole.bytes, Nanos: nanos(func(int) { _, _ = revision.Apply(from, delta) })},
+		{Name: "change: sections compiled", Entries: whole.bytes, Nanos: nanos(func(int) {
+			addAll(assembler, change.values)
+			assembled, _ := assembler.Document(change.head)
+			config.NewSnapshot(assembled, 2)
 		})},
 	}, nil
 }
 
+// replaced returns the values with the newer ones in the place of those of the
+// same name.
+func replaced(values, newer []revision.Value) []revision.Value {
+	result := slices.Clone(values)
+	for _, n := range newer {
+		for i := range result {
+			if result[i].Name == n.Name {
+				result[i] = n
+			}
+		}
+	}
+	return result
+}
+
+func addAll(assembler *config.Assembler, values []revision.Value) {
+	for _, v := range values {
+		if name, ok := strings.CutPrefix(v.Name, config.SectionPrefix); ok {
+			_ = assembler.Add(name, v.Data)
+		}
+	}
+}
+
 func quotaDecision(holders int) DecisionRow {
 	now := time.Now()
 	limit := quota.Limit{Rate: 10_000, Burst: 10_000}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -20,14 +20,15 @@
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/edit"
 	"github.com/mangomast/mangomast/internal/standin"
 	"github.com/mangomast/mangomast/operator"
 	"github.com/mangomast/mangomast/settings"
-	"github.com/mangomast/mangomast/store"
 	"github.com/mangomast/mangomast/store/etcd"
 )
 
@@ -233,12 +234,8 @@
 
 // Apply writes the document into the store, past the proxy.
 func (r *Rig) Apply(ctx context.Context, doc *config.Document) error {
-	data, err := doc.Encode()
-	if err != nil {
-		return err
-	}
-	txn := store.Txn{Puts: []store.Put{{Key: storePrefix + config.DocumentKey, Value: data}}}
-	_, err = etcd.New(etcd.Options{Endpoints: []string{r.StoreURL}}).Commit(ctx, txn)
+	backend := etcd.New(etcd.Options{Endpoints: []string{r.StoreURL}})
+	_, err := edit.NewEditor(backend, storePrefix, clockwork.NewRealClock()).Replace(ctx, doc, "rig")
 	return err
 }
 
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,9 +70,11 @@
 	store   store.Store
 	members *membershipplugin.Module
 	mesh    *mesh.Mesh
-	prefix  string
-	clock   clockwork.Clock
-	log     log.Interface
+	// prefix starts the stream's keys in the store, sections the document's.
+	prefix   string
+	sections string
+	clock    clockwork.Clock
+	log      log.Interface
 
 	current  atomic.Pointer[config.Snapshot]
 	provenAt atomic.Pointer[time.Time]
@@ -82,6 +83,7 @@
 	mu         sync.Mutex
 	state      *revision.State
 	history    []*revision.State
+	assembler  *config.Assembler
 	freshness  revision.Freshness
 	acceptance *revision.Acceptance
 	attested   *revision.Attestations
@@ -125,6 +127,8 @@
 		return err
 	}
 	m.prefix = ctx.Node.Store.Prefix + config.StreamPrefix
+	m.sections = ctx.Node.Store.Prefix + config.SectionPrefix
+	m.assembler = config.NewAssembler()
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.acceptance = revision.NewAcceptance(m.Bound.Std())
 	m.attested = revision.NewAttestations()
@@ -215,8 +219,8 @@
 	snapshot := m.current.Load()
 	value := state.Value(documentName)
 	if len(value.Data) > 0 && (snapshot == nil || snapshot.Revision != value.Revision) {
-		doc := &config.Document{}
-		if err := json.Unmarshal(value.Data, doc); err != nil {
+		doc, err := m.assemble(state, value.Data)
+		if err != nil {
 			m.log.WithError(err).Error("configuration in the store is invalid; keeping the last one")
 		} else {
 			snapshot = config.NewSnapshot(doc, value.Revision)
@@ -228,6 +232,20 @@
 	return snapshot.WithOwners(m.owners(state, snapshot), state.Revision)
 }
 
+// assemble puts the document of a state together. The caller holds m.mu.
+func (m *Module) assemble(state *revision.State, headData []byte) (*config.Document, error) {
+	head, err := config.ParseHead(headData)
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range m.assembler.Missing(head) {
+		if err := m.assembler.Add(name, state.Value(config.SectionPrefix+name).Data); err != nil {
+			return nil, err
+		}
+	}
+	return m.assembler.Document(head)
+}
+
 func (m *Module) owners(state *revision.State, snapshot *config.Snapshot) *config.OwnerTable {
 	value := state.Value(ownersName)
 	if len(value.Data) == 0 || snapshot.Owners.StreamRevision() == value.Revision {
--- a/plugin/config/reader.go
+++ b/plugin/config/reader.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/revision"
 	"github.com/mangomast/mangomast/store"
 )
@@ -24,6 +26,8 @@
 	// Bounds of the delay after a failed read; it doubles each time.
 	minBackoff = 800 * time.Millisecond
 	maxBackoff = 4 * time.Second
+	// maxRereads bounds the reads of a document that changes while it is read.
+	maxRereads = 5
 )
 
 var errOlderRevision = errors.New("store answered an older revision than one that was seen")
@@ -34,6 +38,12 @@
 	for {
 		if m.readDue() {
 			err := m.read(ctx)
+			for range maxRereads {
+				if !errors.Is(err, config.ErrSectionChanged) {
+					break
+				}
+				err = m.read(ctx)
+			}
 			backoff = nextBackoff(backoff, err)
 			if err != nil && ctx.Err() == nil {
 				m.log.WithError(err).WithField("again_in", backoff.String()).Warn("store was not read")
@@ -85,7 +95,9 @@
 		if listing, err = m.store.List(ctx, m.prefix); err != nil {
 			return err
 		}
-		latest = m.stateOf(listing)
+		if latest, err = m.withSections(ctx, m.stateOf(listing)); err != nil {
+			return err
+		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -100,6 +112,45 @@
 	return nil
 }
 
+// withSections adds the document's sections to a state. Those that the node
+// holds already are not read again.
+func (m *Module) withSections(ctx context.Context, state *revision.State) (*revision.State, error) {
+	value := state.Value(documentName)
+	if len(value.Data) == 0 {
+		return state, nil
+	}
+	head, err := config.ParseHead(value.Data)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	missing := m.assembler.Missing(head)
+	held := m.state
+	m.mu.Unlock()
+	records, err := store.GetMany(ctx, m.store, m.sections, missing)
+	if err != nil {
+		return nil, err
+	}
+	values := slices.Clone(state.Values)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, record := range records {
+		if err := m.assembler.Add(record.Key, record.Value); err != nil {
+			return nil, err
+		}
+		values = append(values, revision.Value{Name: config.SectionPrefix + record.Key, Revision: record.ModRevision, Data: record.Value})
+	}
+	if changed := m.assembler.Missing(head); len(changed) > 0 {
+		return nil, errors.Wrapf(config.ErrSectionChanged, "%v", changed)
+	}
+	for _, ref := range head.Sections {
+		if !slices.Contains(missing, ref.Name) {
+			values = append(values, held.Value(config.SectionPrefix+ref.Name))
+		}
+	}
+	return revision.NewState(values), nil
+}
+
 func (m *Module) stateOf(listing store.Listing) *revision.State {
 	var values []revision.Value
 	for _, record := range listing.Records {
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -7,7 +7,11 @@
 // only witness it: nothing is replicated or elected.
 package revision
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // DefaultBound is the age up to which a proof of freshness counts.
 const DefaultBound = 3 * time.Second
@@ -24,13 +28,14 @@
 // State is the whole stream at one revision. It is immutable.
 type State struct {
 	// Revision is the highest revision of the values.
-	Revision int64   `cbor:"1,keyasint"`
-	Values   []Value `cbor:"2,keyasint"`
+	Revision int64 `cbor:"1,keyasint"`
+	// Values are ordered by name.
+	Values []Value `cbor:"2,keyasint"`
 }
 
 // NewState returns the state that the values make up.
 func NewState(values []Value) *State {
-	s := &State{Values: values}
+	s := &State{Values: slices.SortedFunc(slices.Values(values), compareValues)}
 	for _, v := range values {
 		s.Revision = max(s.Revision, v.Revision)
 	}
@@ -39,16 +44,18 @@
 
 // Value returns the value with the name; its zero value if there is none.
 func (s *State) Value(name string) Value {
-	if s != nil {
-		for _, v := range s.Values {
-			if v.Name == name {
-				return v
-			}
-		}
+	if s == nil {
+		return Value{}
 	}
-	return Value{}
+	i, found := slices.BinarySearchFunc(s.Values, Value{Name: name}, compareValues)
+	if !found {
+		return Value{}
+	}
+	return s.Values[i]
 }
 
+func compareValues(a, b Value) int { return strings.Compare(a.Name, b.Name) }
+
 // Freshness is the proof that a node's revision is the latest. A proof made
 // at a time T says that no later revision had been accepted at T. It stays
 // valid when the node takes in a later revision.
