Measure 200 changes by racing operators, with answers lost and VMs killed

Change: mangomast-bench config lets four operators change six fields through package edit while one in four answers of the store is lost and a VM is killed every 4 s; porcupine checks what the operators were told, and every VM is asked every 50 ms what it serves under. A node's own status can be had without the list of members.

--- /dev/null
+++ b/internal/bench/config.go
@@ -0,0 +1,276 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/edit"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/store/etcd"
+)
+
+func init() {
+	Register(Case{Name: "config", Help: "200 changes by four racing operators, answers lost, VMs killed: each in force everywhere in time", Run: runConfig})
+}
+
+const (
+	operators          = 4
+	changesPerOperator = 50
+	// contendedFields is the number of fields that the operators change.
+	contendedFields = 6
+	operatorPause   = 300 * time.Millisecond
+	loseOneIn       = 4
+	killInterval    = 4 * time.Second
+	killPause       = 1 * time.Second
+	// maxInForce is the brief's bound on a change coming into force.
+	maxInForce = 4 * time.Second
+)
+
+// configFigures are the figures of the config case.
+type configFigures struct {
+	Committed int `json:"committed"`
+	Conflicts int `json:"conflicts"`
+	// Late counts VMs that served under an older revision past the bound.
+	Late int `json:"served_late"`
+	// Reverts counts VMs that went back to an older revision.
+	Reverts int `json:"reverts"`
+	Kills   int `json:"kills"`
+	// InForceP50Ms and InForceMaxMs are from the answer to the operator until
+	// the last VM that lived throughout has the change.
+	InForceP50Ms int64 `json:"in_force_p50_ms"`
+	InForceMaxMs int64 `json:"in_force_max_ms"`
+	// AcceptedP50Ms and AcceptedMaxMs are until the nodes know that it is in
+	// force everywhere.
+	AcceptedP50Ms int64 `json:"accepted_p50_ms"`
+	AcceptedMaxMs int64 `json:"accepted_max_ms"`
+	Lost          int   `json:"lost"`
+	Linearizable  bool  `json:"linearizable"`
+}
+
+func (f *configFigures) holds() bool {
+	return f.Committed > 0 && f.Committed+f.Conflicts == operators*changesPerOperator && f.Late == 0 && f.Reverts == 0 &&
+		f.Lost == 0 && f.Linearizable && f.InForceMaxMs <= maxInForce.Milliseconds()
+}
+
+// committed is a change that an operator was told of.
+type committed struct {
+	revision int64
+	number   uint64
+	at       time.Time
+}
+
+// fieldInput is what an operator wanted of a field; a read if New is empty.
+type fieldInput struct {
+	Field, Old, New string
+}
+
+// fieldOutput is the value after the operation, as the operator was told.
+type fieldOutput struct {
+	Done  bool
+	Value string
+}
+
+// configRun is one run of the config case.
+type configRun struct {
+	fleet  *rig.Rig
+	editor *edit.Editor
+
+	mu         sync.Mutex
+	operations []porcupine.Operation
+	committed  []committed
+	conflicts  int
+}
+
+func runConfig(ctx context.Context, env *Env) (*Report, error) {
+	doc := &config.Document{}
+	NewOrganisations(doc, contendedFields, 100, 100)
+	AddService(doc, "fares", nil)
+	nodes := Spread("fares", 16, 10, standin.Behaviour{})
+	AddDomains(doc, nodes)
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	client := etcd.New(etcd.Options{Endpoints: []string{fleet.StoreURL}})
+	run := &configRun{fleet: fleet, editor: edit.NewEditor(client, rig.StorePrefix, clockwork.NewRealClock())}
+	figures, err := run.run(ctx, env)
+	if err != nil {
+		return nil, err
+	}
+	return &Report{Holds: figures.holds(), Figures: figures, Header: []string{"what", "figure"}, Rows: [][]string{
+		{"changes committed, conflicts shown", fmt.Sprintf("%d, %d", figures.Committed, figures.Conflicts)},
+		{"VMs killed", fmt.Sprint(figures.Kills)},
+		{"lost; reverts; served late", fmt.Sprintf("%d; %d; %d", figures.Lost, figures.Reverts, figures.Late)},
+		{"history linearizable", fmt.Sprint(figures.Linearizable)},
+		{"in force on all VMs, p50 and max ms", fmt.Sprintf("%d, %d", figures.InForceP50Ms, figures.InForceMaxMs)},
+		{"known to be in force, p50 and max ms", fmt.Sprintf("%d, %d", figures.AcceptedP50Ms, figures.AcceptedMaxMs)},
+	}}, nil
+}
+
+func (r *configRun) run(ctx context.Context, env *Env) (*configFigures, error) {
+	if err := r.fleet.SetStoreFaults(ctx, standin.Faults{LoseAnswers: loseOneIn}); err != nil {
+		return nil, err
+	}
+	watch := startRevisionWatch(ctx, r.fleet)
+	killer := startKiller(ctx, env, r.fleet, watch)
+	var group sync.WaitGroup
+	errs := make(chan error, operators)
+	for i := range operators {
+		random := rand.New(rand.NewPCG(env.Seed, uint64(i)))
+		group.Go(func() { errs <- r.operate(ctx, i, random) })
+	}
+	group.Wait()
+	kills, err := killer.stop()
+	for range operators {
+		if failed := <-errs; err == nil {
+			err = failed
+		}
+	}
+	if err != nil {
+		watch.stop()
+		return nil, err
+	}
+	time.Sleep(maxInForce + time.Second)
+	watch.stop()
+	figures := &configFigures{Committed: len(r.committed), Conflicts: r.conflicts, Kills: kills}
+	watch.judge(r.committed, figures)
+	return figures, r.judgeHistory(ctx, figures)
+}
+
+// operate makes one operator's changes, each to a field that others change
+// too.
+func (r *configRun) operate(ctx context.Context, number int, random *rand.Rand) error {
+	for i := range changesPerOperator {
+		org := 1 + random.IntN(contendedFields)
+		field := fmt.Sprintf("/organisations/org-%d/rate", org)
+		value := fmt.Sprint(1000 + number*changesPerOperator + i)
+		pause := time.Duration(random.Int64N(int64(2 * operatorPause)))
+		if err := r.change(ctx, number, field, value, pause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// change reads a field, as an operator who opens the form, and changes it
+// after the pause.
+func (r *configRun) change(ctx context.Context, client int, field, value string, pause time.Duration) error {
+	old, err := r.read(ctx, client, field)
+	if err != nil {
+		return err
+	}
+	time.Sleep(pause)
+	called := time.Now()
+	change, err := r.editor.Commit(ctx, edit.Proposal{
+		Author: fmt.Sprint("operator-", client),
+		Edits:  []edit.Edit{{Field: field, Old: json.RawMessage(old), New: json.RawMessage(value)}},
+	})
+	returned := time.Now()
+	output := fieldOutput{Done: true, Value: value}
+	var conflict *edit.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		output = fieldOutput{Value: string(conflict.Conflicts[0].Theirs)}
+	case err != nil:
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record(client, fieldInput{Field: field, Old: old, New: value}, output, called, returned)
+	if output.Done {
+		r.committed = append(r.committed, committed{revision: change.Revision, number: change.Number, at: returned})
+	} else {
+		r.conflicts++
+	}
+	return nil
+}
+
+func (r *configRun) read(ctx context.Context, client int, field string) (string, error) {
+	called := time.Now()
+	current, err := r.editor.Read(ctx)
+	if err != nil {
+		return "", err
+	}
+	value, err := edit.Value(current.Document, field)
+	if err != nil {
+		return "", err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record(client, fieldInput{Field: field}, fieldOutput{Value: string(value)}, called, time.Now())
+	return string(value), nil
+}
+
+func (r *configRun) record(client int, in fieldInput, out fieldOutput, called, returned time.Time) {
+	r.operations = append(r.operations, porcupine.Operation{
+		ClientId: client, Input: in, Output: out, Call: called.UnixNano(), Return: returned.UnixNano(),
+	})
+}
+
+// judgeHistory checks that every change is kept once, and that what the
+// operators were told could have happened one after the other.
+func (r *configRun) judgeHistory(ctx context.Context, figures *configFigures) error {
+	for i := range contendedFields {
+		if _, err := r.read(ctx, operators, fmt.Sprintf("/organisations/org-%d/rate", i+1)); err != nil {
+			return err
+		}
+	}
+	history, err := r.editor.History(ctx)
+	if err != nil {
+		return err
+	}
+	kept := map[uint64]int64{}
+	for _, change := range history {
+		kept[change.Number] = change.Revision
+	}
+	for _, c := range r.committed {
+		if kept[c.number] != c.revision {
+			figures.Lost++
+		}
+	}
+	if len(history) != len(r.committed) {
+		figures.Lost += max(len(history), len(r.committed)) - min(len(history), len(r.committed))
+	}
+	figures.Linearizable = porcupine.CheckOperations(fieldModel(), r.operations)
+	return nil
+}
+
+// fieldModel is a register for each field, changed by compare-and-swap.
+func fieldModel() porcupine.Model {
+	return porcupine.Model{
+		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+			byField := map[string][]porcupine.Operation{}
+			for _, op := range history {
+				field := op.Input.(fieldInput).Field
+				byField[field] = append(byField[field], op)
+			}
+			parts := make([][]porcupine.Operation, 0, len(byField))
+			for _, part := range byField {
+				parts = append(parts, part)
+			}
+			return parts
+		},
+		Init: func() any { return "100" },
+		Step: func(state, input, output any) (bool, any) {
+			in, out := input.(fieldInput), output.(fieldOutput)
+			switch {
+			case out.Done:
+				return state == in.Old, in.New
+			case in.New != "":
+				return state == out.Value && state != in.Old, state
+			}
+			return state == out.Value, state
+		},
+	}
+}
--- a/internal/rig/owners.go
+++ b/internal/rig/owners.go
@@ -12,7 +12,7 @@
 // Owner returns the node that the owner table in the store names for an
 // organisation.
 func (r *Rig) Owner(ctx context.Context, organisation string) (*Node, error) {
-	listing, err := etcd.New(etcd.Options{Endpoints: []string{r.StoreURL}}).Get(ctx, storePrefix+config.OwnersKey)
+	listing, err := etcd.New(etcd.Options{Endpoints: []string{r.StoreURL}}).Get(ctx, StorePrefix+config.OwnersKey)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -33,7 +33,8 @@
 
 const (
 	fleetSecret = "a secret for tests on one machine"
-	storePrefix = "/mangomast/"
+	// StorePrefix starts every key in the rig's store.
+	StorePrefix = "/mangomast/"
 	readyPoll   = 50 * time.Millisecond
 	// StoreListener is the store's name in rules.
 	StoreListener = "store"
@@ -191,7 +192,7 @@
 		FleetSecret: fleetSecret,
 		Listen:      settings.Listen{Callers: node.Callers, Mesh: node.Mesh, Egress: node.Egress, Admin: node.Admin},
 		Advertise:   settings.Advertise{Callers: node.CallersProxy, Mesh: node.MeshProxy},
-		Store:       settings.Store{Endpoints: []string{"http://" + r.StoreAddress}, Prefix: storePrefix},
+		Store:       settings.Store{Endpoints: []string{"http://" + r.StoreAddress}, Prefix: StorePrefix},
 		LogLevel:    r.opts.LogLevel,
 		Modules:     node.Spec.Modules,
 	}
@@ -237,7 +238,7 @@
 	if err != nil {
 		return err
 	}
-	txn := store.Txn{Puts: []store.Put{{Key: storePrefix + config.DocumentKey, Value: data}}}
+	txn := store.Txn{Puts: []store.Put{{Key: StorePrefix + config.DocumentKey, Value: data}}}
 	_, err = etcd.New(etcd.Options{Endpoints: []string{r.StoreURL}}).Commit(ctx, txn)
 	return err
 }
@@ -278,6 +279,13 @@
 	return status, err
 }
 
+// OwnStatus returns what a node says of itself alone, which is quick.
+func (r *Rig) OwnStatus(ctx context.Context, node *Node) (operator.Status, error) {
+	var status operator.Status
+	err := getJSON(ctx, "http://"+node.Admin+operator.PathStatus+"?members=no", &status)
+	return status, err
+}
+
 // WaitReady waits until every node knows every other and has configuration.
 func (r *Rig) WaitReady(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/operator/client.go
+++ b/operator/client.go
@@ -40,7 +40,12 @@
 	Revision int64  `json:"revision"`
 	Fresh    bool   `json:"fresh"`
 	// Owned is true once every organisation's rate has an owner in force.
-	Owned   bool               `json:"owned"`
+	Owned bool `json:"owned"`
+	// Stream is the revision of the stream in force on the node, Accepted the
+	// highest that is known to be in force on every VM.
+	Stream   int64 `json:"stream"`
+	Accepted int64 `json:"accepted"`
+	// Members is left out if the query parameter members is "no".
 	Members []membership.Entry `json:"members"`
 }
 
--- a/plugin/admin/admin.go
+++ b/plugin/admin/admin.go
@@ -80,14 +80,23 @@
 }
 
 func (m *Module) serveStatus(c echo.Context) error {
-	members, err := m.fleet.Members(c.Request().Context())
-	if err != nil {
-		members = m.members.View().All()
-	}
-	status := operator.Status{VM: m.members.Self().VM, Fresh: m.config.Fresh(), Members: members}
+	status := operator.Status{VM: m.members.Self().VM, Fresh: m.config.Fresh(), Accepted: m.config.Accepted()}
 	if snapshot := m.config.Snapshot(); snapshot != nil {
-		status.Revision = snapshot.Revision
-		status.Owned = snapshot.Owned() && m.config.Accepted() >= snapshot.Owners.StreamRevision()
+		status.Revision, status.Stream = snapshot.Revision, snapshot.Stream
+		status.Owned = snapshot.Owned() && status.Accepted >= snapshot.Owners.StreamRevision()
+	}
+	if c.QueryParam("members") != "no" {
+		status.Members = m.listMembers(c.Request().Context())
 	}
 	return c.JSON(http.StatusOK, status)
 }
+
+// listMembers lists the whole fleet, or what this node knows of it if no
+// relay answers.
+func (m *Module) listMembers(ctx context.Context) []membership.Entry {
+	members, err := m.fleet.Members(ctx)
+	if err != nil {
+		return m.members.View().All()
+	}
+	return members
+}
