Measure what silent connections between nodes cost callers

Cause: the pings that find silent connections had no measurement and could not be turned off to see what they are worth.

Change: the mesh module's settings have the ping interval and timeout, and mangomast-bench silent silences a third of the connections four times under load. A request that is pinned is sent to its VM again over a new connection; an idempotent one moves to another VM.

--- /dev/null
+++ b/internal/bench/silent.go
@@ -0,0 +1,175 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/load"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+)
+
+func init() {
+	Register(Case{Name: "silent", Help: "no request waits long because connections between nodes went silent", Run: runSilent})
+}
+
+const (
+	silentRate    = 300
+	silentTimes   = 4
+	silentEvery   = 2500 * time.Millisecond
+	maxSilentWait = 2 * time.Second
+)
+
+// silentFigures are the figures of one arm of the silent case.
+type silentFigures struct {
+	Requests int `json:"requests"`
+	// Silenced counts the connections that went silent.
+	Silenced int `json:"silenced"`
+	// Slow counts the requests that took longer than 2 s.
+	Slow int `json:"slow"`
+	// Failed counts the requests that were not answered. PinnedFailed are
+	// those that are not idempotent; LateFailed were sent more than 2 s after
+	// connections went silent, so over new ones.
+	Failed       int `json:"failed"`
+	PinnedFailed int `json:"pinned_failed"`
+	LateFailed   int `json:"late_failed"`
+
+	LongestMS int64 `json:"longest_ms"`
+	P99MS     int64 `json:"p99_ms"`
+
+	mu sync.Mutex
+	// silencedAt is when connections last went silent.
+	silencedAt time.Time
+}
+
+func (f *silentFigures) holds() bool {
+	return f.Slow == 0 && f.PinnedFailed == 0 && f.LateFailed == 0
+}
+
+func (f *silentFigures) cells(name string) []string {
+	return []string{
+		name, fmt.Sprint(f.Requests), fmt.Sprint(f.Silenced), fmt.Sprint(f.Slow), fmt.Sprint(f.Failed),
+		fmt.Sprint(f.PinnedFailed), fmt.Sprint(f.LateFailed),
+		fmt.Sprint(f.LongestMS), fmt.Sprint(f.P99MS),
+	}
+}
+
+func runSilent(ctx context.Context, env *Env) (*Report, error) {
+	off, err := silentRun(ctx, env, map[string]json.RawMessage{"mesh": json.RawMessage(`{"ping_interval": "1h"}`)})
+	if err != nil {
+		return nil, err
+	}
+	on, err := silentRun(ctx, env, nil)
+	if err != nil {
+		return nil, err
+	}
+	return &Report{
+		Holds:   on.holds() && off.Slow > 0,
+		Figures: on,
+		Header:  []string{"pings", "requests", "silenced", "slower than 2 s", "failed", "failed, pinned", "failed later", "longest ms", "p99 ms"},
+		Rows:    [][]string{off.cells("off"), on.cells("on")},
+	}, nil
+}
+
+// silentRun silences a third of the connections between nodes several times.
+func silentRun(ctx context.Context, env *Env, modules map[string]json.RawMessage) (*silentFigures, error) {
+	doc := &config.Document{}
+	keys := NewOrganisations(doc, 1, 100_000, 100_000)
+	AddService(doc, "fares", nil)
+	AddService(doc, "charge", func(r *config.Route) { r.Service, r.Idempotent = "fares", false })
+	doc.Services = doc.Services[:1]
+	AddService(doc, "other", nil)
+	nodes := append(Spread("fares", 4, 60, standin.Behaviour{WorkMicros: 10_000}), Spread("other", 2, 10, standin.Behaviour{})...)
+	for i := range nodes {
+		nodes[i].Modules = modules
+	}
+	AddDomains(doc, nodes)
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	figures := &silentFigures{}
+	random := rand.New(rand.NewPCG(env.Seed, 4))
+	var group sync.WaitGroup
+	group.Go(func() { figures.send(ctx, fleet, keys[0]) })
+	for range silentTimes {
+		time.Sleep(silentEvery)
+		figures.silence()
+		figures.Silenced += fleet.Network.Silence(func(_, listener string) bool {
+			return strings.HasSuffix(listener, "/mesh") && random.IntN(silentShare) == 0
+		})
+	}
+	group.Wait()
+	return figures, nil
+}
+
+// send sends requests to all nodes in turn, each once, and times them all.
+func (f *silentFigures) send(ctx context.Context, fleet *rig.Rig, key Key) {
+	caller := newCaller(10 * time.Second)
+	result := load.Run(ctx, load.Options{Rate: silentRate, Duration: (silentTimes + 1) * silentEvery, Do: func(ctx context.Context, number int) load.Sample {
+		node := fleet.Nodes[number%len(fleet.Nodes)]
+		method, path := http.MethodGet, "/fares/quote"
+		if number%2 == 0 {
+			method, path = http.MethodPost, "/charge/fare"
+		}
+		started := time.Now()
+		err := exchange(ctx, caller, method, "http://"+node.Callers+path+"?bytes=500", key)
+		f.observe(started, method == http.MethodPost, err)
+		return load.Sample{OK: err == nil}
+	}})
+	f.Requests, f.Failed = result.All.Sent, result.All.Sent-result.All.OK
+	f.P99MS = result.All.Quantile(99).Milliseconds()
+}
+
+func (f *silentFigures) silence() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silencedAt = time.Now()
+}
+
+func (f *silentFigures) observe(started time.Time, pinned bool, err error) {
+	took := time.Since(started)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.LongestMS = max(f.LongestMS, took.Milliseconds())
+	if took > maxSilentWait {
+		f.Slow++
+	}
+	if err == nil {
+		return
+	}
+	if pinned {
+		f.PinnedFailed++
+	}
+	if started.Sub(f.silencedAt) > maxSilentWait {
+		f.LateFailed++
+	}
+}
+
+// exchange sends a request with a key and reads the whole answer.
+func exchange(ctx context.Context, caller *http.Client, method, target string, key Key) error {
+	req, err := http.NewRequestWithContext(ctx, method, target, http.NoBody)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+key.Secret)
+	resp, err := caller.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %s: %.200s", resp.Status, body)
+	}
+	return err
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -10,9 +10,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
+// Defaults of Options.
 const (
-	defaultPingInterval = 500 * time.Millisecond
-	defaultPingTimeout  = 800 * time.Millisecond
+	DefaultPingInterval = 500 * time.Millisecond
+	DefaultPingTimeout  = 800 * time.Millisecond
 )
 
 // Options are the inputs of New.
@@ -62,10 +63,10 @@
 		handlers:     map[Kind]Handler{},
 	}
 	if m.pingInterval == 0 {
-		m.pingInterval = defaultPingInterval
+		m.pingInterval = DefaultPingInterval
 	}
 	if m.pingTimeout == 0 {
-		m.pingTimeout = defaultPingTimeout
+		m.pingTimeout = DefaultPingTimeout
 	}
 	return m, nil
 }
--- a/plugin/mesh/mesh.go
+++ b/plugin/mesh/mesh.go
@@ -6,7 +6,9 @@
 	"context"
 	"net/http"
 
+	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/internal/httpserver"
+	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/mesh"
 )
@@ -15,22 +17,40 @@
 const ID kernel.ID = "mesh"
 
 func init() {
-	kernel.Register(kernel.ModuleInfo{ID: ID, New: func() kernel.Module { return &Module{} }})
+	kernel.Register(kernel.ModuleInfo{ID: ID, New: func() kernel.Module {
+		return &Module{PingInterval: jsonc.Duration(mesh.DefaultPingInterval), PingTimeout: jsonc.Duration(mesh.DefaultPingTimeout)}
+	}})
 }
 
 // Module owns the mesh.
 type Module struct {
+	// PingInterval is the time between two pings on each connection; one that
+	// is not answered within PingTimeout ends the link.
+	PingInterval jsonc.Duration `json:"ping_interval"`
+	PingTimeout  jsonc.Duration `json:"ping_timeout"`
+
 	mesh   *mesh.Mesh
 	server *httpserver.Server
 }
 
 var (
 	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Validator   = (*Module)(nil)
 	_ kernel.Starter     = (*Module)(nil)
 	_ kernel.ActorSource = (*Module)(nil)
 	_ kernel.Drainer     = (*Module)(nil)
 )
 
+// Validate implements kernel.Validator.
+func (m *Module) Validate(prefix string, findings *finding.List) {
+	if m.PingInterval <= 0 {
+		findings.Addf(prefix+"/ping_interval", "must be above 0s")
+	}
+	if m.PingTimeout <= 0 {
+		findings.Addf(prefix+"/ping_timeout", "must be above 0s")
+	}
+}
+
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
 	self := mesh.Identity{
@@ -41,7 +61,8 @@
 	}
 	created, err := mesh.New(mesh.Options{
 		Self: self, Secret: ctx.Node.FleetSecret, Log: ctx.Log, Registerer: ctx.Registry,
-		LocalIP: ctx.Node.Listen.MeshIP(),
+		LocalIP:      ctx.Node.Listen.MeshIP(),
+		PingInterval: m.PingInterval.Std(), PingTimeout: m.PingTimeout.Std(),
 	})
 	if err != nil {
 		return err
