Give a busy connection more time for its pong

Cause: on a link of 30 Mbit/s the pong of a ping waits behind bulk data, so pings closed links that were alive: all of 24 parallel downloads broke. Excluded: a longer timeout for every ping, which would find silent connections later. Change: a ping takes up to five timeouts while frames arrive.

--- a/mesh/client.go
+++ b/mesh/client.go
@@ -91,7 +91,7 @@
 func (l *link) sendChunk(s *stream, f *frame) error {
 	f.Stream = s.id
 	f.ToAcceptor = l.dialer
-	return l.post(s.ctx, Bulk, f)
+	return l.post(s.ctx, l.mesh.bulk, f)
 }
 
 func (l *link) await(ctx context.Context, s *stream, out *outgoing) (*Response, error) {
--- a/mesh/conn.go
+++ b/mesh/conn.go
@@ -14,6 +14,9 @@
 const (
 	sendRingFrames = 256
 	writeTimeout   = 3 * time.Second
+	// maxPingExtensions bounds the ping timeouts that one ping may take while
+	// other frames arrive.
+	maxPingExtensions = 5
 )
 
 // States of an outgoing frame. A frame moves from queued to exactly one of
@@ -42,6 +45,8 @@
 	class Class
 	link  *link
 	out   *kernel.Ring[*outgoing]
+	// received counts the frames that arrived, as signs of life.
+	received atomic.Uint64
 }
 
 func newConn(ws *websocket.Conn, class Class, l *link) *conn {
@@ -96,6 +101,7 @@
 		if err != nil {
 			return err
 		}
+		c.received.Add(1)
 		if kind != websocket.MessageBinary {
 			return errors.New("peer sent a text message")
 		}
@@ -124,10 +130,29 @@
 	}
 }
 
+// pingOnce waits for a pong. On a slow link the pong waits behind bulk data,
+// so a connection on which frames arrive meanwhile gets more time, but not
+// without end: bytes may still pass in one direction only.
 func (c *conn) pingOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, c.link.mesh.pingTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	return c.ws.Ping(ctx)
+	answered := make(chan error, 1)
+	go func() { answered <- c.ws.Ping(ctx) }()
+	timer := time.NewTimer(c.link.mesh.pingTimeout)
+	defer timer.Stop()
+	for range maxPingExtensions {
+		seen := c.received.Load()
+		select {
+		case err := <-answered:
+			return err
+		case <-timer.C:
+		}
+		if c.received.Load() == seen {
+			break
+		}
+		timer.Reset(c.link.mesh.pingTimeout)
+	}
+	return errors.New("connection went silent")
 }
 
 // send queues a frame and returns it, so that it can be abandoned.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -27,6 +27,9 @@
 	// PingInterval and PingTimeout find silent connections; zero for defaults.
 	PingInterval time.Duration
 	PingTimeout  time.Duration
+	// SharedConnection sends bulk data on the connection of calls; for
+	// experiments only.
+	SharedConnection bool
 }
 
 // Mesh dials and accepts links. It is safe for concurrent use.
@@ -38,6 +41,8 @@
 	http         *http.Client
 	pingInterval time.Duration
 	pingTimeout  time.Duration
+	// bulk is the class of connection that carries bulk data.
+	bulk Class
 
 	mu       sync.Mutex
 	dialed   map[string]*link
@@ -58,10 +63,14 @@
 		http:         newHTTPClient(opts.LocalIP),
 		pingInterval: opts.PingInterval,
 		pingTimeout:  opts.PingTimeout,
+		bulk:         Calls,
 		dialed:       map[string]*link{},
 		accepted:     map[linkKey]*link{},
 		handlers:     map[Kind]Handler{},
 	}
+	if !opts.SharedConnection {
+		m.bulk = Bulk
+	}
 	if m.pingInterval == 0 {
 		m.pingInterval = DefaultPingInterval
 	}
--- a/plugin/mesh/mesh.go
+++ b/plugin/mesh/mesh.go
@@ -29,6 +29,10 @@
 	PingInterval jsonc.Duration `json:"ping_interval"`
 	PingTimeout  jsonc.Duration `json:"ping_timeout"`
 
+	// SharedConnection sends bulk data on the connection of calls; for
+	// experiments only.
+	SharedConnection bool `json:"shared_connection"`
+
 	mesh   *mesh.Mesh
 	server *httpserver.Server
 }
@@ -63,6 +67,7 @@
 		Self: self, Secret: ctx.Node.FleetSecret, Log: ctx.Log, Registerer: ctx.Registry,
 		LocalIP:      ctx.Node.Listen.MeshIP(),
 		PingInterval: m.PingInterval.Std(), PingTimeout: m.PingTimeout.Std(),
+		SharedConnection: m.SharedConnection,
 	})
 	if err != nil {
 		return err
