--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -10,9 +10,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
+// Defaults of Options.
 const (
-	defaultPingInterval = 500 * time.Millisecond
-	defaultPingTimeout  = 800 * time.Millisecond
+	DefaultPingInterval = 500 * time.Millisecond
+	DefaultPingTimeout  = 800 * time.Millisecond
 )
 
 // Options are the inputs of New.
@@ -26,6 +27,9 @@
 	// PingInterval and PingTimeout find silent connections; zero for defaults.
 	PingInterval time.Duration
 	PingTimeout  time.Duration
+	// SharedConnection sends bulk data on the connection of calls; for
+	// experiments only.
+	SharedConnection bool
 }
 
 // Mesh dials and accepts links. It is safe for concurrent use.
@@ -37,6 +41,8 @@
 	http         *http.Client
 	pingInterval time.Duration
 	pingTimeout  time.Duration
+	// bulk is the class of connection that carries bulk data.
+	bulk Class
 
 	mu       sync.Mutex
 	dialed   map[string]*link
@@ -57,15 +63,19 @@
 		http:         newHTTPClient(opts.LocalIP),
 		pingInterval: opts.PingInterval,
 		pingTimeout:  opts.PingTimeout,
+		bulk:         Calls,
 		dialed:       map[string]*link{},
 		accepted:     map[linkKey]*link{},
 		handlers:     map[Kind]Handler{},
 	}
+	if !opts.SharedConnection {
+		m.bulk = Bulk
+	}
 	if m.pingInterval == 0 {
-		m.pingInterval = defaultPingInterval
+		m.pingInterval = DefaultPingInterval
 	}
 	if m.pingTimeout == 0 {
-		m.pingTimeout = defaultPingTimeout
+		m.pingTimeout = DefaultPingTimeout
 	}
 	return m, nil
 }
