Make membership's costs follow what changed, not the fleet

Change: the table keeps its members by failure domain and in the order of their last change; a view is made from the one before, copying only the parts that the changed VMs stand in. Views sort their whole list only when asked. Excluded: locks in place of views, since callers on the call path read them. A property test compares views made of changes with whole ones; its first version drew two contents for one version, which a node never announces, and was mended.

--- a/internal/bench/decisions.go
+++ b/internal/bench/decisions.go
@@ -127,13 +127,15 @@
 		return table
 	})
 	table := built.(*membership.Table)
+	view := membership.NewView(table.Entries())
 	entry := fleetEntry(vms / 2)
 	rows := []DecisionRow{
 		{Name: "membership heartbeat", Nanos: nanos(func(int) { table.Hear(entry, now) }), BytesPerEntry: bytes / float64(vms)},
 		{Name: "membership changes since", Nanos: nanos(func(int) {
 			table.Changes(table.Sequence()-1, func(membership.Record) bool { return true })
 		})},
-		{Name: "membership view", Nanos: nanos(func(int) { membership.NewView(table.Entries()) })},
+		{Name: "membership view of a change", Nanos: nanos(func(int) { view.With([]membership.Record{{Entry: entry}}) })},
+		{Name: "membership relays of a domain", Nanos: nanos(func(int) { membership.Relays(table.Domain(entry.FailureDomain)) })},
 	}
 	for i := range rows {
 		rows[i].Entries = vms
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -54,54 +54,6 @@
 	return e.Version > other.Version
 }
 
-// View is an immutable copy of a table, for readers on other goroutines.
-type View struct {
-	entries  []Entry
-	byVM     map[string]Entry
-	services map[string][]Entry
-	lookup   func(service string) []Entry
-}
-
-// NewView returns a view of the entries.
-func NewView(entries []Entry) *View {
-	v := &View{entries: entries, byVM: make(map[string]Entry, len(entries)), services: map[string][]Entry{}}
-	for _, entry := range entries {
-		v.byVM[entry.VM] = entry
-		if entry.State == Ready && entry.Service != "" {
-			v.services[entry.Service] = append(v.services[entry.Service], entry)
-		}
-	}
-	return v
-}
-
-// WithLookup returns the view with a function that finds the VMs of services
-// of which the view has none. The function may block for a short time.
-func (v *View) WithLookup(lookup func(service string) []Entry) *View {
-	copied := *v
-	copied.lookup = lookup
-	return &copied
-}
-
-// All returns every entry that the node knows, ordered by VM. Only relays
-// know every VM of the fleet; see Directory.
-func (v *View) All() []Entry { return v.entries }
-
-// Get returns the entry of a VM.
-func (v *View) Get(vm string) (Entry, bool) {
-	entry, ok := v.byVM[vm]
-	return entry, ok
-}
-
-// Service returns the entries of the VMs that take work for the service. The
-// first call for a service may block until the node has subscribed to it.
-func (v *View) Service(service string) []Entry {
-	entries, ok := v.services[service]
-	if !ok && v.lookup != nil {
-		return v.lookup(service)
-	}
-	return entries
-}
-
 // Source gives the members known to this node.
 type Source interface {
 	// View returns the current members; it never returns nil.
--- a/membership/table.go
+++ b/membership/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"slices"
 	"time"
 )
@@ -24,6 +25,8 @@
 	removed   bool
 	hidden    bool
 	removedAt time.Time
+	// position is the member's place in the order of changes.
+	position *list.Element
 }
 
 func (m *member) live() bool { return !m.removed && !m.hidden }
@@ -31,12 +34,49 @@
 // Table holds the newest entry of each VM and numbers its changes, so that
 // others can ask for what changed. It is not safe for concurrent use.
 type Table struct {
-	members  map[string]*member
+	members map[string]*member
+	// domains has the members of each failure domain.
+	domains map[string]map[string]*member
+	// order has the members by the sequence of their last change.
+	order    *list.List
 	sequence uint64
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{members: map[string]*member{}} }
+func NewTable() *Table {
+	return &Table{members: map[string]*member{}, domains: map[string]map[string]*member{}, order: list.New()}
+}
+
+// put adds a member with its first entry.
+func (t *Table) put(entry Entry) *member {
+	m := &member{}
+	m.position = t.order.PushBack(m)
+	t.members[entry.VM] = m
+	t.replace(m, entry)
+	return m
+}
+
+// replace sets a member's entry. A VM may come back in another failure domain.
+func (t *Table) replace(m *member, entry Entry) {
+	if m.entry.FailureDomain != entry.FailureDomain {
+		t.leaveDomain(m)
+	}
+	m.entry = entry
+	domain := t.domains[entry.FailureDomain]
+	if domain == nil {
+		domain = map[string]*member{}
+		t.domains[entry.FailureDomain] = domain
+	}
+	domain[entry.VM] = m
+}
+
+func (t *Table) leaveDomain(m *member) {
+	domain := t.domains[m.entry.FailureDomain]
+	delete(domain, m.entry.VM)
+	if len(domain) == 0 {
+		delete(t.domains, m.entry.FailureDomain)
+	}
+}
 
 // Sequence returns the number of the last change.
 func (t *Table) Sequence() uint64 { return t.sequence }
@@ -44,6 +84,7 @@
 func (t *Table) touch(m *member) {
 	t.sequence++
 	m.sequence = t.sequence
+	t.order.MoveToBack(m.position)
 }
 
 // Hear takes in an entry that came from the VM's own node.
@@ -51,13 +92,13 @@
 	m, known := t.members[entry.VM]
 	switch {
 	case !known:
-		m = &member{}
-		t.members[entry.VM] = m
+		m = t.put(entry)
 	case m.entry.Newer(entry):
 		return
 	}
 	changed := !known || entry.Newer(m.entry) || !m.live()
-	m.entry, m.heard, m.removed, m.hidden = entry, now, false, false
+	t.replace(m, entry)
+	m.heard, m.removed, m.hidden = now, false, false
 	if changed {
 		t.touch(m)
 	}
@@ -72,13 +113,14 @@
 		if record.Removed {
 			return
 		}
-		m = &member{entry: record.Entry, heard: now}
-		t.members[record.Entry.VM] = m
+		m = t.put(record.Entry)
+		m.heard = now
 		t.touch(m)
 		return
 	}
 	if record.Entry.Newer(m.entry) {
-		m.entry, m.heard, m.removed = record.Entry, now, false
+		t.replace(m, record.Entry)
+		m.heard, m.removed = now, false
 		t.touch(m)
 	}
 	if !authority || m.entry.Newer(record.Entry) || m.removed == record.Removed {
@@ -102,8 +144,8 @@
 // VouchDomain notes that a relay of a failure domain was heard, and shows the
 // domain's VMs again if they were hidden.
 func (t *Table) VouchDomain(domain string, heard time.Time) {
-	for _, m := range t.members {
-		if m.entry.FailureDomain != domain || m.removed {
+	for _, m := range t.domains[domain] {
+		if m.removed {
 			continue
 		}
 		if heard.After(m.heard) {
@@ -118,8 +160,8 @@
 
 // HideDomain hides the VMs of a failure domain that is unheard as a whole.
 func (t *Table) HideDomain(domain string) {
-	for _, m := range t.members {
-		if m.entry.FailureDomain == domain && m.live() {
+	for _, m := range t.domains[domain] {
+		if m.live() {
 			m.hidden = true
 			t.touch(m)
 		}
@@ -142,6 +184,8 @@
 func (t *Table) Forget(before time.Time) {
 	for vm, m := range t.members {
 		if m.removed && m.removedAt.Before(before) {
+			t.leaveDomain(m)
+			t.order.Remove(m.position)
 			delete(t.members, vm)
 		}
 	}
@@ -150,23 +194,19 @@
 // Unheard returns the live VMs of a failure domain that were last heard
 // before the time, ordered by VM.
 func (t *Table) Unheard(domain string, before time.Time) []Entry {
-	return t.collect(func(m *member) bool {
-		return m.entry.FailureDomain == domain && m.live() && m.heard.Before(before)
-	})
+	return collect(t.domains[domain], func(m *member) bool { return m.live() && m.heard.Before(before) })
 }
 
 // Missing returns the VMs of a failure domain that were removed after the
 // time, ordered by VM. They may still serve under an old configuration.
 func (t *Table) Missing(domain string, after time.Time) []Entry {
-	return t.collect(func(m *member) bool {
-		return m.entry.FailureDomain == domain && m.removed && m.removedAt.After(after)
-	})
+	return collect(t.domains[domain], func(m *member) bool { return m.removed && m.removedAt.After(after) })
 }
 
 // Hidden reports whether a failure domain is unheard as a whole.
 func (t *Table) Hidden(domain string) bool {
-	for _, m := range t.members {
-		if m.entry.FailureDomain == domain && m.hidden {
+	for _, m := range t.domains[domain] {
+		if m.hidden {
 			return true
 		}
 	}
@@ -182,12 +222,16 @@
 }
 
 // Changes returns the records that changed after the sequence number and for
-// which match returns true.
+// which match returns true, ordered by VM. Its cost grows with what changed.
 func (t *Table) Changes(after uint64, match func(Record) bool) []Record {
 	var records []Record
-	for _, m := range t.members {
+	for position := t.order.Back(); position != nil; position = position.Prev() {
+		m := position.Value.(*member)
+		if m.sequence <= after {
+			break
+		}
 		record := Record{Entry: m.entry, Removed: !m.live()}
-		if m.sequence > after && match(record) {
+		if match(record) {
 			records = append(records, record)
 		}
 	}
@@ -196,38 +240,37 @@
 }
 
 // Entries returns the entries of all live VMs, ordered by VM.
-func (t *Table) Entries() []Entry { return t.collect((*member).live) }
+func (t *Table) Entries() []Entry { return collect(t.members, (*member).live) }
 
 // Domain returns the live VMs of a failure domain, ordered by VM.
 func (t *Table) Domain(domain string) []Entry {
-	return t.collect(func(m *member) bool { return m.live() && m.entry.FailureDomain == domain })
+	return collect(t.domains[domain], (*member).live)
 }
 
 // Known returns the VMs of a failure domain that were not removed, also while
 // the domain is hidden, ordered by VM.
 func (t *Table) Known(domain string) []Entry {
-	return t.collect(func(m *member) bool { return !m.removed && m.entry.FailureDomain == domain })
+	return collect(t.domains[domain], func(m *member) bool { return !m.removed })
 }
 
 // Domains returns the failure domains with VMs that were not removed, sorted.
 func (t *Table) Domains() []string {
-	seen := map[string]bool{}
-	for _, m := range t.members {
-		if !m.removed {
-			seen[m.entry.FailureDomain] = true
+	var names []string
+	for name, domain := range t.domains {
+		for _, m := range domain {
+			if !m.removed {
+				names = append(names, name)
+				break
+			}
 		}
 	}
-	names := make([]string, 0, len(seen))
-	for name := range seen {
-		names = append(names, name)
-	}
 	slices.Sort(names)
 	return names
 }
 
-func (t *Table) collect(match func(*member) bool) []Entry {
+func collect(members map[string]*member, match func(*member) bool) []Entry {
 	var entries []Entry
-	for _, m := range t.members {
+	for _, m := range members {
 		if match(m) {
 			entries = append(entries, m.entry)
 		}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,141 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/zeebo/xxh3"
+)
+
+// viewShards is the number of parts that a view's indexes are kept in. A new
+// view copies only the parts that changed.
+const viewShards = 64
+
+func shardOf(name string) uint64 { return xxh3.HashString(name) % viewShards }
+
+// View is an immutable copy of a table, for readers on other goroutines.
+type View struct {
+	vms      [viewShards]map[string]Entry
+	services [viewShards]map[string][]Entry
+	all      func() []Entry
+	lookup   func(service string) []Entry
+}
+
+// NewView returns a view of the entries.
+func NewView(entries []Entry) *View {
+	records := make([]Record, len(entries))
+	for i, entry := range entries {
+		records[i] = Record{Entry: entry}
+	}
+	return (&View{}).With(records)
+}
+
+// With returns a view in which the records have replaced those of the same
+// VMs. Its cost grows with the records, not with the view.
+func (v *View) With(records []Record) *View {
+	next := &viewChange{View: View{vms: v.vms, services: v.services, lookup: v.lookup}}
+	for _, record := range records {
+		next.apply(record)
+	}
+	changed := next.View
+	changed.all = sync.OnceValue(changed.collect)
+	return &changed
+}
+
+// viewChange is a view that is being made. Parts that it owns are copies that
+// no reader has seen.
+type viewChange struct {
+	View
+	ownsVMs, ownsServices [viewShards]bool
+}
+
+func (c *viewChange) apply(record Record) {
+	entry := record.Entry
+	shard := shardOf(entry.VM)
+	if !c.ownsVMs[shard] {
+		c.vms[shard] = cloned(c.vms[shard])
+		c.ownsVMs[shard] = true
+	}
+	if old, known := c.vms[shard][entry.VM]; known {
+		c.setService(old, false)
+	}
+	if record.Removed {
+		delete(c.vms[shard], entry.VM)
+		return
+	}
+	c.vms[shard][entry.VM] = entry
+	c.setService(entry, true)
+}
+
+// setService puts the entry among those of its service, or takes it away.
+func (c *viewChange) setService(entry Entry, present bool) {
+	if entry.State != Ready || entry.Service == "" {
+		return
+	}
+	shard := shardOf(entry.Service)
+	if !c.ownsServices[shard] {
+		c.services[shard] = cloned(c.services[shard])
+		c.ownsServices[shard] = true
+	}
+	entries := c.services[shard][entry.Service]
+	at, found := slices.BinarySearchFunc(entries, entry.VM, func(e Entry, vm string) int { return cmp.Compare(e.VM, vm) })
+	entries = slices.Clone(entries)
+	switch {
+	case present:
+		entries = slices.Insert(entries, at, entry)
+	case found:
+		entries = slices.Delete(entries, at, at+1)
+	}
+	if len(entries) == 0 {
+		delete(c.services[shard], entry.Service)
+		return
+	}
+	c.services[shard][entry.Service] = entries
+}
+
+func cloned[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return map[string]V{}
+	}
+	return maps.Clone(m)
+}
+
+func (v *View) collect() []Entry {
+	var entries []Entry
+	for _, shard := range v.vms {
+		entries = slices.AppendSeq(entries, maps.Values(shard))
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.VM, b.VM) })
+	return entries
+}
+
+// WithLookup returns the view with a function that finds the VMs of services
+// of which the view has none. The function may block for a short time.
+func (v *View) WithLookup(lookup func(service string) []Entry) *View {
+	copied := *v
+	copied.lookup = lookup
+	return &copied
+}
+
+// All returns every entry that the node knows, ordered by VM; the first call
+// sorts them. Only relays know every VM of the fleet; see Directory.
+func (v *View) All() []Entry { return v.all() }
+
+// Get returns the entry of a VM.
+func (v *View) Get(vm string) (Entry, bool) {
+	entry, ok := v.vms[shardOf(vm)][vm]
+	return entry, ok
+}
+
+// Service returns the entries of the VMs that take work for the service,
+// ordered by VM. The first call for a service may block until the node has
+// subscribed to it.
+func (v *View) Service(service string) []Entry {
+	entries, ok := v.services[shardOf(service)][service]
+	if !ok && v.lookup != nil {
+		return v.lookup(service)
+	}
+	return entries
+}
--- /dev/null
+++ b/membership/view_test.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// versioned returns an entry whose content follows from its version, as a
+// node's own entry does.
+func versioned(vm string, version uint64) Entry {
+	return Entry{
+		VM: vm, Incarnation: 1, Version: version, FailureDomain: []string{"a", "b"}[version/5],
+		Service: []string{"x", "y", ""}[version%3], State: []State{Ready, Absent, Ready, Leaving}[version%4],
+	}
+}
+
+// TestViewFollowsTable changes a table at random and checks that a view made
+// of the changes alone equals one made of the whole table.
+func TestViewFollowsTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, view, seen := NewTable(), NewView(nil), uint64(0)
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			vm := fmt.Sprintf("vm-%d", rapid.IntRange(0, 9).Draw(t, "vm"))
+			domain := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain")
+			now = now.Add(time.Second)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				table.Hear(versioned(vm, rapid.Uint64Range(1, 9).Draw(t, "version")), now)
+			case 2:
+				table.Remove(vm, now)
+			case 3:
+				table.HideDomain(domain)
+			case 4:
+				table.VouchDomain(domain, now)
+			}
+			earlier, before := view, view.All()
+			view = view.With(table.Changes(seen, func(Record) bool { return true }))
+			seen = table.Sequence()
+			assert.DeepEqual(t, earlier.collect(), before)
+			whole := NewView(table.Entries())
+			assert.DeepEqual(t, view.All(), whole.All())
+			for _, service := range []string{"x", "y"} {
+				assert.DeepEqual(t, view.Service(service), whole.Service(service))
+			}
+		}
+	})
+}
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -131,6 +131,7 @@
 	m.mesh, m.clock, m.log = fabric, ctx.Clock, ctx.Log
 	m.seeds = ctx.Node.Seeds
 	m.table = membership.NewTable()
+	m.view.Store(membership.NewView(nil))
 	m.urgent = make(chan struct{}, 1)
 	m.cursors = map[string]cursor{}
 	m.domains = map[string]*domainState{}
@@ -196,15 +197,17 @@
 
 // publish makes a new view if the table changed. The caller holds m.mu.
 func (m *Module) publish() {
-	if current := m.view.Load(); current != nil && m.published == m.table.Sequence() {
+	current := m.view.Load()
+	if m.published == m.table.Sequence() {
 		return
 	}
+	changes := m.table.Changes(m.published, func(membership.Record) bool { return true })
 	m.published = m.table.Sequence()
-	view := membership.NewView(m.table.Entries())
-	if m.rank() < 0 {
-		view = view.WithLookup(m.lookup)
+	lookup := m.lookup
+	if m.rank() >= 0 {
+		lookup = nil
 	}
-	m.view.Store(view)
+	m.view.Store(current.With(changes).WithLookup(lookup))
 }
 
 // rank returns this node's position among the relays of its failure domain,
