Count a caller's sends through all nodes of a region together

Cause: each ingress node kept its own table of claimed requests, so a caller that spread the sends of one request over k nodes got k budgets; and a caller that repeated the request ID of a reply began a new budget, because the first send was never entered under it.

Excluded: falling back to the own table when the VM that counts does not answer: with connections cut in turn, up to 6 runs of one request were counted where 4 are allowed. A settlement that is repeated after a lost answer must not count twice: sends are numbered.

Change: the claim's home, a VM of the service in the region by rendezvous hash, keeps the budget; ingress nodes ask it before and settle with it after a send. Failed requests without a claim are entered under the ID of their reply.

A caller that uses both regions gets two budgets; a home that dies forgets.

--- a/internal/bench/lying.go
+++ b/internal/bench/lying.go
@@ -135,6 +135,9 @@
 		return lyingRow{}, err
 	}
 	defer fleet.Close()
+	if err := waitServing(ctx, fleet.Nodes[lyingVMs:], keys[0], "/front/x"); err != nil {
+		return lyingRow{}, err
+	}
 	delayBetweenRegions(fleet)
 	if err := stopUpstream(ctx, fleet, coldVM); err != nil {
 		return lyingRow{}, err
--- a/internal/bench/retries.go
+++ b/internal/bench/retries.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/internal/rig"
 	"github.com/mangomast/mangomast/internal/standin"
@@ -37,6 +38,9 @@
 	// timeout is the caller's patience for one send.
 	timeout   time.Duration
 	behaviour func(level int) standin.Behaviour
+	// byRequestID makes callers claim the request ID of their first send, and
+	// no key of their own.
+	byRequestID bool
 	// disturb runs during the requests; nil for nothing.
 	disturb func(ctx context.Context, fleet *rig.Rig)
 }
@@ -137,6 +141,9 @@
 		return err
 	}
 	defer fleet.Close()
+	if err := waitServing(ctx, fleet.Nodes, keys[0], "/"+hop(1)+"/x"); err != nil {
+		return err
+	}
 	return f(fleet, keys[0])
 }
 
@@ -164,6 +171,7 @@
 	}
 	return []retryMode{
 		{name: "answered 500", requests: 200, timeout: callerPatience, behaviour: failing(100, false)},
+		{name: "answered 500, by request id", requests: 200, timeout: callerPatience, behaviour: failing(100, false), byRequestID: true},
 		{name: "half answered 500", requests: 200, timeout: callerPatience, behaviour: failing(50, false)},
 		{name: "broken connections", requests: 200, timeout: callerPatience, behaviour: failing(100, true)},
 		{name: "half broken", requests: 200, timeout: callerPatience, behaviour: failing(50, true)},
@@ -223,15 +231,18 @@
 // sendRepeatedly sends the mode's requests and returns how many succeeded.
 func sendRepeatedly(ctx context.Context, fleet *rig.Rig, key Key, mode retryMode) int {
 	client := newCaller(mode.timeout)
+	ingress := nodesOfRegion(fleet, places[0].region)
 	succeeded := make([]bool, mode.requests)
 	var group errgroup.Group
 	group.SetLimit(callersAtOnce)
 	for i := range mode.requests {
 		group.Go(func() error {
-			for range callerSends {
-				if succeeded[i] = sendClaimed(ctx, client, fleet.Nodes[i%vmsPerService], key, mode.id(i)); succeeded[i] {
-					break
-				}
+			caller := claimingCaller{client: client, key: key, testID: mode.id(i), claim: mode.id(i), header: "Idempotency-Key"}
+			if mode.byRequestID {
+				caller.claim, caller.header = "", call.HeaderRequestID
+			}
+			for n := 0; n < callerSends && !succeeded[i]; n++ {
+				succeeded[i] = caller.send(ctx, ingress[(i+n)%len(ingress)])
 			}
 			return nil
 		})
@@ -248,20 +259,47 @@
 
 func (m retryMode) id(number int) string { return fmt.Sprintf("%s-%d", m.name, number) }
 
-// sendClaimed sends a request under an ID that the caller claims.
-func sendClaimed(ctx context.Context, client *http.Client, node *rig.Node, key Key, id string) bool {
+// nodesOfRegion returns the nodes of a region; callers spread their sends over
+// them.
+func nodesOfRegion(fleet *rig.Rig, region string) []*rig.Node {
+	var nodes []*rig.Node
+	for _, node := range fleet.Nodes {
+		if node.Spec.Region == region {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// claimingCaller sends one request until it succeeds.
+type claimingCaller struct {
+	client *http.Client
+	key    Key
+	testID string
+	// claim goes along in the header; if it is empty, the ID of the first
+	// reply is taken.
+	claim  string
+	header string
+}
+
+func (c *claimingCaller) send(ctx context.Context, node *rig.Node) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Callers+"/"+hop(1)+"/x", nil)
 	if err != nil {
 		return false
 	}
-	req.Header.Set("Authorization", "Bearer "+key.Secret)
-	req.Header.Set("Idempotency-Key", id)
-	req.Header.Set(standin.HeaderTestID, id)
-	resp, err := client.Do(req)
+	req.Header.Set("Authorization", "Bearer "+c.key.Secret)
+	req.Header.Set(standin.HeaderTestID, c.testID)
+	if c.claim != "" {
+		req.Header.Set(c.header, c.claim)
+	}
+	resp, err := c.client.Do(req)
 	if err != nil {
 		return false
 	}
 	defer resp.Body.Close()
+	if c.claim == "" {
+		c.claim = resp.Header.Get(call.HeaderRequestID)
+	}
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err == nil && resp.StatusCode == http.StatusOK
 }
--- a/internal/bench/throttle.go
+++ b/internal/bench/throttle.go
@@ -37,18 +37,18 @@
 		return err
 	}
 	report.Rows = append(report.Rows, row.cells())
-	first := float64(mode.requests)
+	first, senders := float64(mode.requests), len(nodesOfRegion(fleet, places[0].region))
 	for level, runs := range row.Runs {
 		// Each try below the root belongs to a run of the level above.
 		share := float64(runs)/first - 1
-		bound := throttleRatio + throttleReserve*vmsPerService/first
+		bound := throttleRatio + throttleReserve*float64(senders)/first
 		figures.Throttled = append(figures.Throttled, share)
 		figures.ThrottledBound = append(figures.ThrottledBound, bound)
 		report.Holds = report.Holds && share <= bound
 		report.Rows = append(report.Rows, []string{
 			fmt.Sprintf("share of retries at level %d", level+1), "", "", fmt.Sprintf("%.3f", bound), fmt.Sprintf("%.3f", share), "",
 		})
-		first = float64(runs)
+		first, senders = float64(runs), vmsPerService
 	}
 	return nil
 }
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -47,6 +47,10 @@
 	KindQuotaRecall Kind = 30
 )
 
+// KindClaim asks for, or settles, a send of a request that its caller may send
+// through several nodes.
+const KindClaim Kind = 50
+
 // Kinds of requests about members and the revision stream.
 const (
 	KindProbe Kind = iota + 20
--- a/plugin/ingress/resend.go
+++ b/plugin/ingress/resend.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"io"
 	"net/http"
 
@@ -16,41 +15,66 @@
 const maxClaimBytes = 256
 
 // dispatchCounted dispatches a caller's request. All sends of an idempotent
-// request for which the caller claims the same ID share one retry budget; the
-// others of a request that is not idempotent never run.
+// request for which the caller claims the same ID share one retry budget; a
+// request that is not idempotent is run once by its ledger.
 func (m *Module) dispatchCounted(r *http.Request, req *request, body []byte) (*call.Reply, io.ReadCloser) {
 	head := req.head
-	id := claimedID(r)
-	if id == "" || !head.Idempotent || m.retries.Unbounded {
+	if !head.Idempotent || m.retries.Unbounded {
 		return m.dispatcher.Dispatch(r.Context(), head, body)
 	}
-	claim := retry.Claim{Organisation: head.Organisation, Route: head.Route, ID: id}
-	budget, again := m.retries.Open(claim, head.RetryBudget)
-	if !m.allowSend(head, budget, again) {
+	claim := retry.Claim{Organisation: head.Organisation, Route: head.Route, ID: claimedID(r)}
+	if claim.ID == "" {
+		return m.dispatchNew(r, head, body)
+	}
+	send := m.retries.Begin(r.Context(), head.Service, claim, head.RetryBudget)
+	if !send.Reached {
+		refusal := call.Refuse(call.CodeNoUpstream, "the VM that counts the sends of the request does not answer")
+		refusal.RetryAfter = m.retries.Delay()
+		return refusal, nil
+	}
+	if !send.Allowed {
 		return m.retries.Refuse(), nil
 	}
-	return m.dispatchShare(r.Context(), head, body, budget)
+	if send.Again {
+		head.Attempt = 1
+		if !m.retries.AllowSend(head.Service) {
+			send.End(0, false)
+			return m.retries.Refuse(), nil
+		}
+	}
+	head.RetryBudget = send.Loan
+	reply, answer := m.dispatcher.Dispatch(r.Context(), head, body)
+	m.endSend(send, reply)
+	return reply, answer
 }
 
-// allowSend pays for one send of the request.
-func (m *Module) allowSend(head *call.Head, budget *retry.Budget, again bool) bool {
-	if !again {
-		return budget.Spend()
+// dispatchNew dispatches a request without a claim. If it fails, its budget is
+// kept under the ID that the reply tells, should the caller repeat it.
+func (m *Module) dispatchNew(r *http.Request, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
+	budget := head.RetryBudget
+	reply, answer := m.dispatcher.Dispatch(r.Context(), head, body)
+	if reply.Outcome != call.Refused && failed(reply) && r.Context().Err() == nil {
+		claim := retry.Claim{Organisation: head.Organisation, Route: head.Route, ID: head.ID}
+		send := m.retries.Begin(r.Context(), head.Service, claim, budget)
+		send.End(reply.RetriesUsed, true)
 	}
-	head.Attempt = 1
-	return m.retries.Allow(retryplugin.Caller, head.Service, budget)
+	return reply, answer
 }
 
-// dispatchShare dispatches with what is left of the budget, but for one unit
-// that is kept for a send after a lost connection.
-func (m *Module) dispatchShare(ctx context.Context, head *call.Head, body []byte, budget *retry.Budget) (*call.Reply, io.ReadCloser) {
-	head.RetryBudget = budget.LendKeeping(1)
-	reply, answer := m.dispatcher.Dispatch(ctx, head, body)
-	budget.Settle(head.RetryBudget, reply.RetriesUsed)
-	if reply.Outcome == call.Refused {
-		budget.Refund()
+// endSend settles a send before its reply is given, so that the next one finds
+// the budget; after a success nobody waits for that.
+func (m *Module) endSend(send *retryplugin.Send, reply *call.Reply) {
+	used, ran := reply.RetriesUsed, reply.Outcome != call.Refused
+	if failed(reply) {
+		send.End(used, ran)
+		return
 	}
-	return reply, answer
+	go send.End(used, ran)
+}
+
+// failed reports whether a caller may want to send the request again.
+func failed(reply *call.Reply) bool {
+	return reply.Outcome != call.Answered || reply.Status >= http.StatusInternalServerError
 }
 
 // claimedID returns the ID that the caller gives its request: an idempotency
--- a/plugin/retry/retry.go
+++ b/plugin/retry/retry.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -15,6 +16,10 @@
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
+	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
 	"github.com/mangomast/mangomast/retry"
 )
 
@@ -34,7 +39,8 @@
 
 func init() {
 	kernel.Register(kernel.ModuleInfo{
-		ID: ID,
+		ID:    ID,
+		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID},
 		New: func() kernel.Module {
 			return &Module{
 				Ratio: defaultRatio, Reserve: defaultReserve,
@@ -63,6 +69,10 @@
 	MaxDelay jsonc.Duration `json:"max_delay"`
 
 	clock    clockwork.Clock
+	log      log.Interface
+	mesh     *mesh.Mesh
+	members  membership.Source
+	region   string
 	advice   retry.Advice
 	requests *retry.Requests
 	retries  *prometheus.CounterVec
@@ -97,7 +107,14 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	m.clock = ctx.Clock
+	var err error
+	if m.mesh, err = kernel.Require[*mesh.Mesh](ctx); err != nil {
+		return err
+	}
+	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
+		return err
+	}
+	m.clock, m.log, m.region = ctx.Clock, ctx.Log, ctx.Node.Region
 	m.advice = retry.Advice{Min: m.MinDelay.Std(), Max: m.MaxDelay.Std()}
 	m.requests = retry.NewRequests(m.Requests, m.Window.Std())
 	m.throttles = map[string]*retry.Throttle{}
@@ -106,6 +123,7 @@
 		Help: "Retries wanted, by who wanted them (node, upstream, caller) and whether they were allowed.",
 	}, []string{"origin", "result"})
 	ctx.Registry.MustRegister(m.retries)
+	m.mesh.Handle(mesh.KindClaim, mesh.Typed(m.serveClaim))
 	kernel.Provide(ctx, m)
 	return nil
 }
@@ -138,10 +156,16 @@
 	return result == "allowed"
 }
 
-// Open returns the budget of a caller's request and whether an earlier send
-// of it may have run.
-func (m *Module) Open(claim retry.Claim, retries int) (budget *retry.Budget, again bool) {
-	return m.requests.Open(claim, retries, m.clock.Now())
+// AllowSend asks for a send by a caller that repeats its request. Its budget
+// has been taken from already.
+func (m *Module) AllowSend(service string) bool {
+	allowed := m.throttle(service).Retry()
+	result := "allowed"
+	if !allowed {
+		result = "throttled"
+	}
+	m.retries.WithLabelValues(string(Caller), result).Inc()
+	return allowed
 }
 
 // Delay returns the advice for a refused caller.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -87,7 +87,7 @@
 	used = max(0, min(used, loan))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lent -= loan
+	b.lent -= max(0, min(loan, b.lent))
 	b.used += used
 }
 
@@ -119,5 +119,5 @@
 	if b.sealed {
 		return 0
 	}
-	return b.total - b.used - b.lent
+	return max(0, b.total-b.used-b.lent)
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -146,32 +146,66 @@
 	claim := Claim{Organisation: "beach", Route: "quote", ID: "1"}
 	sends := 0
 	for range 10 {
-		budget, again := table.Open(claim, 3, now)
-		assert.Equal(t, again, sends > 0)
-		if budget.Spend() {
+		grant := table.Begin(claim, 3, now)
+		assert.Equal(t, grant.Again, sends > 0)
+		if grant.Allowed {
 			sends++
+			table.End(claim, Settlement{Number: grant.Number, Ran: true})
 		}
 	}
 	assert.Equal(t, sends, 4)
 	for i := range 5 {
-		table.Open(Claim{ID: fmt.Sprint(i)}, 3, now)
+		table.Begin(Claim{ID: fmt.Sprint(i)}, 3, now)
 	}
 	assert.Equal(t, table.Len(), 2)
 	now = now.Add(2 * time.Minute)
-	_, again := table.Open(claim, 3, now)
-	assert.Assert(t, !again)
+	assert.Assert(t, !table.Begin(claim, 3, now).Again)
 	assert.Equal(t, table.Len(), 1)
 }
 
 func TestRequestsDoNotChargeSendsThatRanNowhere(t *testing.T) {
-	table := NewRequests(2, time.Minute)
+	table, claim := NewRequests(2, time.Minute), Claim{ID: "1"}
 	for range 10 {
-		budget, again := table.Open(Claim{ID: "1"}, 0, time.Unix(0, 0))
-		assert.Assert(t, !again && budget.Spend())
-		budget.Refund()
+		grant := table.Begin(claim, 0, time.Unix(0, 0))
+		assert.Assert(t, grant.Allowed && !grant.Again)
+		table.End(claim, Settlement{Number: grant.Number})
 	}
 }
 
+// TestRequestsBoundConcurrentSends begins and ends sends at random; some ends
+// never come. Sends that ran and the retries they used stay within 1 + retries.
+func TestRequestsBoundConcurrentSends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, claim := NewRequests(2, time.Minute), Claim{ID: "1"}
+		retries := rapid.IntRange(0, 5).Draw(t, "retries")
+		ran := 0
+		var open []Grant
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			if len(open) > 0 && rapid.Bool().Draw(t, "end") {
+				used := rapid.IntRange(0, open[0].Loan).Draw(t, "used")
+				really := rapid.Bool().Draw(t, "ran")
+				if really {
+					ran += 1 + used
+				} else {
+					used = 0
+				}
+				for range rapid.IntRange(1, 2).Draw(t, "copies of the settlement") {
+					table.End(claim, Settlement{Number: open[0].Number, Used: used, Ran: really})
+				}
+				open = open[1:]
+				continue
+			}
+			if grant := table.Begin(claim, retries, time.Unix(0, 0)); grant.Allowed {
+				open = append(open, grant)
+			}
+		}
+		for _, grant := range open {
+			ran += 1 + grant.Loan
+		}
+		assert.Assert(t, ran <= 1+retries, "%d runs with %d retries", ran, retries)
+	})
+}
+
 func TestAdviceIsSpread(t *testing.T) {
 	a := Advice{Min: time.Second, Max: 3 * time.Second}
 	assert.Equal(t, a.Delay(0), time.Second)
