Free a lost owner's shares when the proofs of its term have run out

Cause: after an owner was paused or killed, its successor counted all that no holder had reported as out for a whole lease (8 s) more.

Excluded: waiting for reports from all holders (no node knows them all); voiding a share when a node learns the new term (every request was refused until the successor began, 4 s).

Change: a share stays valid only while the term that it was granted under was proven to be the latest, unless the successor answered for it. The acceptance of a revision by the lapse of all earlier proofs is passed along the stream, and tells the successor that no unreported share is left; after an acceptance by acknowledgements it waits for the proof's bound instead.

--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -139,6 +139,7 @@
 	m.mesh.Handle(mesh.KindRevision, mesh.Typed(m.serveQuestion))
 	kernel.Provide[config.Source](ctx, m)
 	kernel.Provide[config.Freshness](ctx, m)
+	kernel.Provide(ctx, m)
 	return nil
 }
 
@@ -150,7 +151,7 @@
 
 // ServesOrganisation implements config.Freshness.
 func (m *Module) ServesOrganisation(org *config.Organisation) bool {
-	return m.provenWithin(max(m.Bound.Std(), org.ServeWhenCutOff.Std()))
+	return m.provenWithin(m.ProofBound(org))
 }
 
 // ProofAge implements config.Freshness.
@@ -173,6 +174,19 @@
 // Accepted implements config.Source.
 func (m *Module) Accepted() int64 { return m.accepted.Load() }
 
+// Lapsed returns the highest revision of the stream for which all proofs of an
+// earlier one have run out, as far as this node knows.
+func (m *Module) Lapsed() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.acceptance.Lapsed()
+}
+
+// ProofBound is how long a proof of freshness counts for an organisation.
+func (m *Module) ProofBound(org *config.Organisation) time.Duration {
+	return max(m.Bound.Std(), org.ServeWhenCutOff.Std())
+}
+
 // Actors implements kernel.ActorSource.
 func (m *Module) Actors() []kernel.Actor {
 	return []kernel.Actor{
--- a/plugin/config/stream.go
+++ b/plugin/config/stream.go
@@ -33,6 +33,8 @@
 	Delta *revision.Delta `cbor:"7,keyasint,omitempty"`
 	// Report is set by relays.
 	Report *domainReport `cbor:"8,keyasint,omitempty"`
+	// Lapsed is the revision of which all earlier proofs have run out.
+	Lapsed int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // target is a node to ask.
@@ -151,6 +153,7 @@
 func (m *Module) take(a answer, asked time.Time) bool {
 	m.attested.Note(a.VM, a.Incarnation, a.Held, asked)
 	m.acceptance.Learn(a.Accepted)
+	m.acceptance.LearnLapsed(a.Lapsed)
 	if a.Report != nil {
 		a.Report.taken = asked
 		m.reports[a.Report.Domain] = *a.Report
@@ -194,7 +197,7 @@
 	a := answer{
 		VM: self.VM, Incarnation: self.Incarnation, Held: m.held(), Accepted: m.acceptance.Accepted(),
 		StoreAge: ageOf(m.freshness.Store(), now), QuorumAge: ageOf(m.freshness.Quorum(), now),
-		Report: report,
+		Report: report, Lapsed: m.acceptance.Lapsed(),
 	}
 	if a.Held > q.Held {
 		a.Delta = revision.Diff(m.base(q), m.state)
--- a/plugin/quota/holders.go
+++ b/plugin/quota/holders.go
@@ -35,6 +35,8 @@
 
 // holding is this node's share of one organisation's limit.
 type holding struct {
+	organisation string
+
 	mu      sync.Mutex
 	holder  *quota.Holder
 	waiting int
@@ -43,6 +45,13 @@
 	changed chan struct{}
 	// local is the whole limit, in ModeLocal.
 	local *quota.LocalBucket
+
+	// snapshot is the one that the limit, the owner and the proof's bound are
+	// from.
+	snapshot *config.Snapshot
+	owner    config.Owner
+	owned    bool
+	proof    time.Duration
 }
 
 // wake lets the waiting requests try again. The caller holds the mutex.
@@ -51,30 +60,53 @@
 	h.changed = make(chan struct{})
 }
 
-// holding returns the organisation's holding at its limit of now.
+// holding returns the organisation's holding, a new one if it has none.
 func (s *holders) holding(organisation string) (*holding, bool) {
 	limit, ok := limitOf(s.config.Snapshot(), organisation)
 	if !ok {
 		return nil, false
 	}
-	now := s.clock.Now()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	h := s.byOrganisation[organisation]
 	if h == nil {
 		h = &holding{
-			holder: quota.NewHolder(organisation, limit), changed: make(chan struct{}),
-			local: quota.NewLocalBucket(now, limit),
+			organisation: organisation, holder: quota.NewHolder(organisation, limit), changed: make(chan struct{}),
+			local: quota.NewLocalBucket(s.clock.Now(), limit),
 		}
 		s.byOrganisation[organisation] = h
 	}
-	s.mu.Unlock()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.used = now
-	h.holder.SetLimit(now, limit)
 	return h, true
 }
 
+// follow takes in the latest configuration and the proof that it is the latest,
+// and returns the time. The caller holds the holding's mutex.
+func (s *holders) follow(h *holding) time.Time {
+	// The proof is read before the snapshot that it is taken to be of.
+	age, proven := s.freshness.ProofAge()
+	now, snapshot := s.clock.Now(), s.config.Snapshot()
+	if snapshot != h.snapshot {
+		s.adopt(h, now, snapshot)
+	}
+	if s.freshness.IgnoreFreshness {
+		age, proven = 0, true
+	}
+	if h.owned && proven {
+		h.holder.Follow(now, h.owner.Term, now.Add(h.proof-age))
+	}
+	return now
+}
+
+// adopt takes in another snapshot.
+func (s *holders) adopt(h *holding, now time.Time, snapshot *config.Snapshot) {
+	h.snapshot = snapshot
+	h.owner, h.owned = snapshot.Owners.Owner(h.organisation)
+	if limit, ok := limitOf(snapshot, h.organisation); ok {
+		h.holder.SetLimit(now, limit)
+		h.proof = s.freshness.ProofBound(snapshot.Organisation(h.organisation))
+	}
+}
+
 // admit spends a token, asking the owner before it refuses.
 func (s *holders) admit(ctx context.Context, organisation string) *call.Reply {
 	h, ok := s.holding(organisation)
@@ -82,19 +114,19 @@
 		return call.Refuse(call.CodeForbidden, "the organisation is not part of the configuration")
 	}
 	if s.Mode == ModeLocal {
-		return s.admitLocal(h, organisation)
+		return s.admitLocal(h)
 	}
 	deadline := s.clock.Now().Add(s.MaxWait.Std())
-	verdict, changed, next := s.take(h, organisation, false)
+	verdict, changed, next := s.take(h, false)
 	if verdict == quota.Wait {
 		defer h.leave()
 	}
 	for verdict == quota.Wait {
-		s.step(h, organisation)
+		s.step(h)
 		if !s.wait(ctx, changed, next, deadline) {
 			return refusal("no token could be had from the organisation's owner in time")
 		}
-		verdict, changed, next = s.take(h, organisation, true)
+		verdict, changed, next = s.take(h, true)
 	}
 	if verdict == quota.Exhausted {
 		return refusal("the organisation's rate is used up")
@@ -102,14 +134,14 @@
 	return nil
 }
 
-func (s *holders) admitLocal(h *holding, organisation string) *call.Reply {
+func (s *holders) admitLocal(h *holding) *call.Reply {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := s.clock.Now()
 	if !h.local.Take(now) {
 		return refusal("the organisation's rate is used up on this VM")
 	}
-	s.logAdmission(organisation, now)
+	s.logAdmission(h.organisation, now)
 	return nil
 }
 
@@ -122,10 +154,11 @@
 
 // take tries to spend a token. The first time a request has to wait it counts
 // as waiting, until leave. It returns what to wait for.
-func (s *holders) take(h *holding, organisation string, waits bool) (quota.Verdict, <-chan struct{}, time.Time) {
+func (s *holders) take(h *holding, waits bool) (quota.Verdict, <-chan struct{}, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := s.clock.Now()
+	now := s.follow(h)
+	h.used = now
 	if !waits {
 		h.holder.Arrive(now)
 	}
@@ -137,7 +170,7 @@
 		h.waiting++
 	}
 	if verdict == quota.Admitted {
-		s.logAdmission(organisation, now)
+		s.logAdmission(h.organisation, now)
 	}
 	return verdict, h.changed, h.holder.NextEvent(now)
 }
@@ -185,24 +218,24 @@
 			return ctx.Err()
 		case <-ticker.Chan():
 		}
-		for organisation, h := range s.all() {
-			s.step(h, organisation)
+		for _, h := range s.all() {
+			s.step(h)
 		}
 	}
 }
 
 // all returns the holdings and forgets those that are long unused.
-func (s *holders) all() map[string]*holding {
+func (s *holders) all() []*holding {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := make(map[string]*holding, len(s.byOrganisation))
+	all := make([]*holding, 0, len(s.byOrganisation))
 	for organisation, h := range s.byOrganisation {
 		if h.idle(now) {
 			delete(s.byOrganisation, organisation)
 			continue
 		}
-		all[organisation] = h
+		all = append(all, h)
 	}
 	return all
 }
@@ -214,30 +247,13 @@
 }
 
 // step sends an ask if one is due.
-func (s *holders) step(h *holding, organisation string) {
-	entry, known := s.ownerOf(organisation)
-	if !known {
-		return
-	}
+func (s *holders) step(h *holding) {
 	h.mu.Lock()
-	now := s.clock.Now()
-	due := h.holder.Due(now, h.waiting)
-	var ask quota.Ask
-	if due {
-		ask = h.holder.Ask(now, entry.Term, h.waiting)
-	}
-	h.mu.Unlock()
-	if due {
-		go s.ask(h, entry, ask)
-	}
-}
-
-func (s *holders) ownerOf(organisation string) (config.Owner, bool) {
-	snapshot := s.config.Snapshot()
-	if snapshot == nil {
-		return config.Owner{}, false
+	defer h.mu.Unlock()
+	now := s.follow(h)
+	if h.owned && h.holder.Due(now, h.waiting) {
+		go s.ask(h, h.owner, h.holder.Ask(now, h.waiting))
 	}
-	return snapshot.Owners.Owner(organisation)
 }
 
 // ask sends one ask to the owner and takes in its answer.
@@ -285,22 +301,22 @@
 	h.mu.Lock()
 	h.holder.Recall()
 	h.mu.Unlock()
-	s.step(h, recall.Organisation)
+	s.step(h)
 	return nothing{}, nil
 }
 
 // release gives back every share.
 func (s *holders) release(ctx context.Context) {
 	var group sync.WaitGroup
-	for organisation, h := range s.all() {
-		owner, known := s.ownerOf(organisation)
-		if !known {
-			continue
-		}
+	for _, h := range s.all() {
 		h.mu.Lock()
-		ask := h.holder.Release(s.clock.Now(), owner.Term)
+		now := s.follow(h)
+		owner, owned := h.owner, h.owned
+		ask := h.holder.Release(now)
 		h.mu.Unlock()
-		group.Go(func() { _, _ = s.exchange(ctx, owner, ask) })
+		if owned {
+			group.Go(func() { _, _ = s.exchange(ctx, owner, ask) })
+		}
 	}
 	group.Wait()
 }
--- a/plugin/quota/owners.go
+++ b/plugin/quota/owners.go
@@ -68,13 +68,20 @@
 func (s *owners) take(snapshot *config.Snapshot, entry config.Owner) {
 	known := s.byOrganisation[entry.Organisation]
 	limit, ok := limitOf(snapshot, entry.Organisation)
-	if !ok || (known != nil && known.Term() == entry.Term) {
+	if !ok {
+		return
+	}
+	if known != nil && known.Term() == entry.Term {
+		if s.freshness.Lapsed() >= snapshot.Owners.Revision {
+			known.Supersede(s.clock.Now())
+		}
 		return
 	}
 	if s.config.Accepted() < snapshot.Owners.Revision || !s.config.Fresh() {
 		return
 	}
-	s.byOrganisation[entry.Organisation] = quota.NewOwner(s.clock.Now(), entry.Term, limit, entry.Term == 1)
+	s.byOrganisation[entry.Organisation] = quota.NewOwner(
+		s.clock.Now(), entry.Term, limit, s.freshness.ProofBound(snapshot.Organisation(entry.Organisation)))
 	s.log.WithField("organisation", entry.Organisation).WithField("term", entry.Term).Info("owns the organisation's rate")
 }
 
--- a/plugin/quota/quota.go
+++ b/plugin/quota/quota.go
@@ -71,15 +71,16 @@
 	// is refused.
 	MaxWait jsonc.Duration `json:"max_wait"`
 
-	clock   clockwork.Clock
-	log     log.Interface
-	config  config.Source
-	members membership.Source
-	mesh    *mesh.Mesh
-	metrics *metrics
-	holders *holders
-	owners  *owners
-	keeper  *tableKeeper
+	clock     clockwork.Clock
+	log       log.Interface
+	config    config.Source
+	freshness *configplugin.Module
+	members   membership.Source
+	mesh      *mesh.Mesh
+	metrics   *metrics
+	holders   *holders
+	owners    *owners
+	keeper    *tableKeeper
 }
 
 var (
@@ -111,6 +112,9 @@
 	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
 		return err
 	}
+	if m.freshness, err = kernel.Require[*configplugin.Module](ctx); err != nil {
+		return err
+	}
 	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
 		return err
 	}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -40,6 +40,14 @@
 	demand       demand
 	// expires is the end of the lease.
 	expires time.Time
+	// term is the owner's term that this node knows, and proven the end of
+	// the proof that it is the latest.
+	term   uint64
+	proven time.Time
+	// shareTerm is the term under which the share was granted, and valid the
+	// end of the last proof seen under it.
+	shareTerm uint64
+	valid     time.Time
 	// number is that of the last ask; pending while it may be answered.
 	number  uint64
 	pending bool
@@ -80,9 +88,30 @@
 	return now / before
 }
 
-// advance mints tokens and drops a share whose lease has run out.
+// Follow takes in the owner's term that this node knows and until when it is
+// proven to be the latest. The proof must have been read before the term. A
+// share of an earlier term stays valid only for as long as that one was proven
+// to be the latest, so that the next owner knows when it has run out, unless
+// it reports the share and is answered.
+func (h *Holder) Follow(now time.Time, term uint64, proven time.Time) {
+	if term < h.term {
+		return
+	}
+	if term > h.term {
+		h.term, h.proven = term, time.Time{}
+		h.pending, h.useless, h.nextAsk = false, now, now
+	}
+	if proven.After(h.proven) {
+		h.proven = proven
+	}
+	if h.shareTerm == term {
+		h.valid = h.proven
+	}
+}
+
+// advance mints tokens and drops a share whose lease or proof has run out.
 func (h *Holder) advance(now time.Time) {
-	if !now.Before(h.expires) {
+	if !now.Before(h.expires) || !now.Before(h.valid) {
 		h.bucket.resize(0, 0)
 		h.target = 0
 	}
@@ -151,14 +180,14 @@
 
 // Ask gives back what is not needed and returns the message to the owner. The
 // answers to all earlier asks are void from now on.
-func (h *Holder) Ask(now time.Time, term uint64, waiting int) Ask {
+func (h *Holder) Ask(now time.Time, waiting int) Ask {
 	h.advance(now)
 	h.demand.decay(now)
 	returned := h.giveBack(waiting)
 	h.number++
 	h.pending, h.recalled, h.askedAt = true, false, now
 	ask := Ask{
-		Organisation: h.organisation, Term: term, Number: h.number,
+		Organisation: h.organisation, Term: h.term, Number: h.number,
 		Held:     Share{Rate: h.bucket.rate, Burst: h.bucket.capacity},
 		Returned: returned, Demand: h.demand.rate, Limit: h.limit,
 	}
@@ -189,9 +218,9 @@
 }
 
 // Release gives back everything; the message needs no answer.
-func (h *Holder) Release(now time.Time, term uint64) Ask {
+func (h *Holder) Release(now time.Time) Ask {
 	h.demand.rate = 0
-	ask := h.Ask(now, term, 0)
+	ask := h.Ask(now, 0)
 	h.pending = false
 	return ask
 }
@@ -210,7 +239,7 @@
 
 // Apply takes in the answer to the last ask and reports whether it did.
 func (h *Holder) Apply(now time.Time, answer Answer) bool {
-	if !h.pending || answer.Number != h.number {
+	if !h.pending || answer.Number != h.number || answer.Term != h.term {
 		return false
 	}
 	h.pending = false
@@ -222,7 +251,7 @@
 	if !now.Before(expires) {
 		return true
 	}
-	h.expires = expires
+	h.expires, h.shareTerm, h.valid = expires, h.term, h.proven
 	h.keep, h.target = answer.Keep, answer.Target
 	rate := answer.Share.Rate * shrink(h.limit.Rate, answer.Limit.Rate)
 	factor := shrink(h.limit.Burst, answer.Limit.Burst)
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -37,6 +37,9 @@
 	recallFanout = 4
 )
 
+// firstTerm is the term of the first owner that an organisation ever had.
+const firstTerm = 1
+
 // record is what the owner counts as out at one holder.
 type record struct {
 	id       HolderID
@@ -61,22 +64,32 @@
 	unknownUntil time.Time
 }
 
-// NewOwner returns the owner of a term that begins now. The first owner that
-// an organisation ever had starts with a full bucket; any later one starts
-// with an empty one and counts the whole limit as out until it is reported or
-// must have expired.
-func NewOwner(now time.Time, term uint64, limit Limit, first bool) *Owner {
+// NewOwner returns the owner of a term that begins now, once the term is
+// accepted. The first owner that an organisation ever had starts with a full
+// bucket; any later one starts with an empty one and counts the whole limit as
+// out until it is reported or must have expired. proof is how long a node's
+// proof that it knows the latest term counts.
+func NewOwner(now time.Time, term uint64, limit Limit, proof time.Duration) *Owner {
 	o := &Owner{term: term, limit: limit, holders: map[HolderID]*record{}, bucket: bucket{at: now}}
-	if first {
+	if term == firstTerm {
 		o.bucket.tokens = limit.Burst
 	} else {
 		o.unknown = Share(limit)
-		o.unknownUntil = now.Add(Lease + leaseMargin)
+		o.unknownUntil = now.Add(min(proof, Lease) + leaseMargin)
 	}
 	o.resize()
 	return o
 }
 
+// Supersede takes in that all proofs of an earlier term have run out, so that
+// no share of it is valid any more but those reported.
+func (o *Owner) Supersede(now time.Time) {
+	if now.Before(o.unknownUntil) {
+		o.unknownUntil = now
+		o.advance(now)
+	}
+}
+
 // Term returns the owner's term.
 func (o *Owner) Term() uint64 { return o.term }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -21,7 +21,7 @@
 const (
 	// Lease is how long a share is valid, counted by the holder from when it
 	// asked. It covers the replacement of a lost owner.
-	Lease = 8 * time.Second
+	Lease = 7 * time.Second
 	// ClockDrift is the largest error of a clock's speed that the promise
 	// covers.
 	ClockDrift = 0.0005
--- a/revision/acceptance.go
+++ b/revision/acceptance.go
@@ -17,7 +17,10 @@
 type Acceptance struct {
 	bound    time.Duration
 	accepted int64
-	pending  []pending
+	// lapsed is the highest revision known to be accepted because the proofs
+	// of all earlier ones had run out.
+	lapsed  int64
+	pending []pending
 }
 
 type pending struct {
@@ -35,6 +38,13 @@
 // Accepted returns the highest accepted revision; 0 before the first.
 func (a *Acceptance) Accepted() int64 { return a.accepted }
 
+// Lapsed returns the highest revision for which all proofs of an earlier one
+// are known to have run out; 0 before the first.
+func (a *Acceptance) Lapsed() int64 { return a.lapsed }
+
+// LearnLapsed takes in what another node's Lapsed returned.
+func (a *Acceptance) LearnLapsed(revision int64) { a.lapsed = max(a.lapsed, revision) }
+
 // Waiting reports whether a revision waits for acceptance.
 func (a *Acceptance) Waiting() bool { return len(a.pending) > 0 }
 
@@ -88,6 +98,9 @@
 			continue
 		}
 		lapsed := now.Sub(p.acknowledged) > max(a.bound, p.cutOff)
+		if lapsed {
+			a.LearnLapsed(p.revision)
+		}
 		if lapsed || e.Everyone(p.revision) {
 			accepted = p.revision
 		}
