--- /dev/null
+++ b/internal/bench/slopes.go
@@ -0,0 +1,216 @@
+package bench
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/membership"
+)
+
+func init() {
+	Register(Case{Name: "slopes", Help: "4, 16 and 64 idle nodes: calls on the store, and control bytes, processor and memory of a node", Run: runSlopes})
+}
+
+const (
+	defaultSlopeTime = 10 * time.Second
+	slopeSettle      = 8 * time.Second
+	// maxStoreGrowth bounds the growth of the calls on the store when the
+	// fleet grows sixteenfold at the same failure domains.
+	maxStoreGrowth = 2
+	// Budget of a node for control.
+	maxControlCores = 0.017
+	maxControlBytes = 21_000
+)
+
+// nodeCost is what control costs nodes of one kind, on average.
+type nodeCost struct {
+	Count          int     `json:"count"`
+	BytesPerSecond float64 `json:"control_bytes_per_second"`
+	Cores          float64 `json:"cores"`
+	ResidentMB     float64 `json:"rss_mb"`
+}
+
+func (c *nodeCost) add(before, after nodeUse, seconds float64) {
+	c.Count++
+	c.BytesPerSecond += (after.bytes - before.bytes) / seconds
+	c.Cores += (after.usage.CPU - before.usage.CPU).Seconds() / seconds
+	c.ResidentMB += float64(after.usage.ResidentBytes) / 1e6
+}
+
+func (c *nodeCost) average() {
+	n := float64(max(1, c.Count))
+	c.BytesPerSecond, c.Cores, c.ResidentMB = c.BytesPerSecond/n, c.Cores/n, c.ResidentMB/n
+}
+
+// slopeRow is one size of the fleet.
+type slopeRow struct {
+	Nodes          int      `json:"nodes"`
+	StorePerMinute float64  `json:"store_calls_per_minute"`
+	StoreWatches   int64    `json:"store_watches"`
+	Relay          nodeCost `json:"relay"`
+	Other          nodeCost `json:"other"`
+}
+
+type slopeFigures struct {
+	Sizes []slopeRow `json:"sizes"`
+}
+
+func runSlopes(ctx context.Context, env *Env) (*Report, error) {
+	length := env.Duration
+	if length == 0 {
+		length = defaultSlopeTime
+	}
+	figures := &slopeFigures{}
+	for _, size := range []int{4, 16, 64} {
+		row, err := measureSlope(ctx, size, length)
+		if err != nil {
+			return nil, err
+		}
+		figures.Sizes = append(figures.Sizes, row)
+	}
+	return figures.report(), nil
+}
+
+// measureSlope starts idle nodes without upstreams in four failure domains.
+func measureSlope(ctx context.Context, size int, length time.Duration) (slopeRow, error) {
+	doc := &config.Document{}
+	NewOrganisations(doc, 8, 1000, 1000)
+	AddService(doc, "fares", nil)
+	nodes := Spread("fares", size, 10, standin.Behaviour{})
+	AddDomains(doc, nodes)
+	for i := range nodes {
+		nodes[i].Service = ""
+	}
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return slopeRow{}, err
+	}
+	defer fleet.Close()
+	time.Sleep(slopeSettle)
+	storeBefore, err := fleet.StoreCounts(ctx)
+	if err != nil {
+		return slopeRow{}, err
+	}
+	before, err := nodeUses(ctx, fleet)
+	if err != nil {
+		return slopeRow{}, err
+	}
+	started := time.Now()
+	time.Sleep(length)
+	after, err := nodeUses(ctx, fleet)
+	if err != nil {
+		return slopeRow{}, err
+	}
+	seconds := time.Since(started).Seconds()
+	storeAfter, err := fleet.StoreCounts(ctx)
+	if err != nil {
+		return slopeRow{}, err
+	}
+	row := slopeRow{
+		Nodes: size, StoreWatches: storeAfter.Waiting,
+		StorePerMinute: float64(storeCalls(storeAfter)-storeCalls(storeBefore)) / seconds * 60,
+	}
+	relays := relayNames(fleet)
+	for i, node := range fleet.Nodes {
+		cost := &row.Other
+		if relays[node.Spec.VM] {
+			cost = &row.Relay
+		}
+		cost.add(before[i], after[i], seconds)
+	}
+	row.Relay.average()
+	row.Other.average()
+	return row, nil
+}
+
+// relayNames returns the VMs that are relays when all nodes live.
+func relayNames(fleet *rig.Rig) map[string]bool {
+	domains := map[string][]membership.Entry{}
+	for _, node := range fleet.Nodes {
+		domain := node.Spec.FailureDomain
+		domains[domain] = append(domains[domain], membership.Entry{VM: node.Spec.VM, FailureDomain: domain})
+	}
+	names := map[string]bool{}
+	for _, entries := range domains {
+		for _, relay := range membership.Relays(entries) {
+			names[relay.VM] = true
+		}
+	}
+	return names
+}
+
+// nodeUse is what a node has used so far.
+type nodeUse struct {
+	usage rig.Usage
+	bytes float64
+}
+
+func nodeUses(ctx context.Context, fleet *rig.Rig) ([]nodeUse, error) {
+	var all []nodeUse
+	for _, node := range fleet.Nodes {
+		usage, err := node.Process.Usage()
+		if err != nil {
+			return nil, err
+		}
+		bytes, err := meshBytes(ctx, node)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, nodeUse{usage: usage, bytes: bytes})
+	}
+	return all, nil
+}
+
+// meshBytes returns the bytes that a node sent to and received from others.
+func meshBytes(ctx context.Context, node *rig.Node) (float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Admin+"/metrics", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, errors.Wrap(err, "read metrics")
+	}
+	defer resp.Body.Close()
+	total := 0.0
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		if !strings.HasPrefix(name, "mangomast_mesh_sent_bytes_total") && !strings.HasPrefix(name, "mangomast_mesh_received_bytes_total") {
+			continue
+		}
+		number, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0, errors.Wrap(err, name)
+		}
+		total += number
+	}
+	return total, errors.Wrap(lines.Err(), "read metrics")
+}
+
+func (f *slopeFigures) report() *Report {
+	report := &Report{Holds: true, Figures: f, Header: []string{
+		"nodes", "store calls/min", "watches", "relays: B/s", "cores", "MB", "others: B/s", "cores", "MB",
+	}}
+	first := f.Sizes[0]
+	for _, row := range f.Sizes {
+		cells := []string{fmt.Sprint(row.Nodes), fmt.Sprintf("%.0f", row.StorePerMinute), fmt.Sprint(row.StoreWatches)}
+		for _, cost := range []nodeCost{row.Relay, row.Other} {
+			cells = append(cells, fmt.Sprintf("%.0f", cost.BytesPerSecond), fmt.Sprintf("%.4f", cost.Cores), fmt.Sprintf("%.0f", cost.ResidentMB))
+			report.Holds = report.Holds && cost.BytesPerSecond <= maxControlBytes && cost.Cores <= maxControlCores
+		}
+		report.Rows = append(report.Rows, cells)
+		report.Holds = report.Holds && row.StorePerMinute <= maxStoreGrowth*first.StorePerMinute
+	}
+	return report
+}
--- a/mesh/conn.go
+++ b/mesh/conn.go
@@ -17,6 +17,9 @@
 	// maxPingExtensions bounds the ping timeouts that one ping may take while
 	// other frames arrive.
 	maxPingExtensions = 5
+	// idlePingTicks is how many times less often the connections of a link
+	// without calls are pinged; their users notice silence by themselves.
+	idlePingTicks = 4
 )
 
 // States of an outgoing frame. A frame moves from queued to exactly one of
@@ -118,12 +121,15 @@
 func (c *conn) ping(ctx context.Context) error {
 	ticker := time.NewTicker(c.link.mesh.pingInterval)
 	defer ticker.Stop()
-	for {
+	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		if tick%idlePingTicks != 0 && c.link.conn(Calls) == nil {
+			continue
+		}
 		if err := c.pingOnce(ctx); err != nil {
 			return err
 		}
--- a/plugin/config/acceptance.go
+++ b/plugin/config/acceptance.go
@@ -20,6 +20,8 @@
 	witnessCheck = 1 * time.Second
 	// attestationLife is how long what a node said is remembered.
 	attestationLife = time.Minute
+	// reportLife is how long a report is used before it is made anew.
+	reportLife = 100 * time.Millisecond
 )
 
 // domainReport is what a relay says of the VMs of its failure domain.
@@ -33,9 +35,23 @@
 	taken time.Time
 }
 
-// report returns the report of the own failure domain; nil if this node is no
-// relay.
+// report returns a recent report of the own failure domain; nil if this node
+// is no relay.
 func (m *Module) report() *domainReport {
+	m.mu.Lock()
+	report, at := m.reported, m.reportedAt
+	m.mu.Unlock()
+	if m.clock.Since(at) < reportLife {
+		return report
+	}
+	report = m.newReport()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reported, m.reportedAt = report, m.clock.Now()
+	return report
+}
+
+func (m *Module) newReport() *domainReport {
 	if _, rank := m.members.Position(); rank < 0 {
 		return nil
 	}
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -90,6 +90,9 @@
 	witnesses  *revision.WitnessTable
 	// reports are what the other failure domains' relays said of their VMs.
 	reports map[string]domainReport
+	// reported is the own failure domain's report, renewed after reportLife.
+	reported   *domainReport
+	reportedAt time.Time
 	// asking holds the addresses with a question outstanding.
 	asking map[string]bool
 	// failures rotates through the relays of a failure domain.
--- a/plugin/config/stream.go
+++ b/plugin/config/stream.go
@@ -6,6 +6,7 @@
 
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
 	"github.com/mangomast/mangomast/revision"
 )
 
@@ -65,50 +66,62 @@
 	return true
 }
 
-// targets returns the nodes to ask. A relay asks the other relays of its
-// failure domain and one of each other domain; while a proof or an acceptance
-// needs the witnesses, it asks them too. Another node asks one relay.
+// targets returns the nodes to ask. A node that is no relay asks one relay. A
+// relay asks the first relay of its failure domain, which reads the store; as
+// long as a revision waits for acceptance or the store was not read lately, it
+// asks the other relays, one of each other domain, and the witnesses.
 func (m *Module) targets() []target {
 	relays, rank := m.members.Position()
 	self := m.members.Self()
+	others := m.members.OtherRelays()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if rank < 0 {
 		return []target{m.pick(self.FailureDomain, relays)}
 	}
+	chosen := map[string]target{}
+	if m.unsettled() {
+		chosen = m.widely(relays, others)
+	} else {
+		chosen[relays[0].VM] = target{entry: relays[0]}
+	}
+	delete(chosen, self.VM)
+	targets := make([]target, 0, len(chosen))
+	for _, t := range chosen {
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+// widely chooses every node whose answer may count.
+func (m *Module) widely(relays []membership.Entry, others map[string][]membership.Entry) map[string]target {
 	chosen := map[string]target{}
 	for _, r := range relays {
 		chosen[r.VM] = target{entry: r}
 	}
-	for domain, relays := range m.members.OtherRelays() {
+	for domain, relays := range others {
 		t := m.pick(domain, relays)
 		chosen[t.entry.VM] = t
 	}
-	if m.needsWitnesses() {
-		view := m.members.View()
-		for _, vm := range m.witnesses.Names() {
-			if entry, ok := view.Get(vm); ok {
-				chosen[vm] = target{entry: entry, group: chosen[vm].group}
-			}
+	view := m.members.View()
+	for _, vm := range m.witnesses.Names() {
+		if entry, ok := view.Get(vm); ok {
+			chosen[vm] = target{entry: entry, group: chosen[vm].group}
 		}
 	}
-	delete(chosen, self.VM)
-	targets := make([]target, 0, len(chosen))
-	for _, t := range chosen {
-		targets = append(targets, t)
-	}
-	return targets
+	return chosen
 }
 
 // pick chooses one of the relays of a failure domain, another one after each
 // failure.
 func (m *Module) pick(domain string, relays []membership.Entry) target {
-	return target{entry: relays[m.failures[domain]%len(relays)], group: domain}
+	start := membershipplugin.Spread(m.mesh.Self().VM)
+	return target{entry: relays[(start+m.failures[domain])%len(relays)], group: domain}
 }
 
-// needsWitnesses reports whether a revision waits for acceptance or the store
-// has not been read for too long. The caller holds m.mu.
-func (m *Module) needsWitnesses() bool {
+// unsettled reports whether a revision waits for acceptance or the store was
+// not read lately. The caller holds m.mu.
+func (m *Module) unsettled() bool {
 	return m.acceptance.Waiting() || m.clock.Since(m.freshness.Store()) > m.Bound.Std()/boundIntervals
 }
 
--- a/plugin/membership/fleet.go
+++ b/plugin/membership/fleet.go
@@ -1,8 +1,11 @@
 package membership
 
 import (
+	"maps"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/mangomast/mangomast/membership"
 )
 
@@ -20,13 +23,7 @@
 func (m *Module) OtherRelays() map[string][]membership.Entry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	relays := map[string][]membership.Entry{}
-	for _, domain := range m.table.Domains() {
-		if domain != m.self.FailureDomain {
-			relays[domain] = membership.Relays(m.table.Known(domain))
-		}
-	}
-	return relays
+	return maps.Clone(m.otherRelays())
 }
 
 // OwnDomain returns the VMs of this node's failure domain, and those that were
@@ -36,3 +33,8 @@
 	defer m.mu.Unlock()
 	return m.table.Domain(m.self.FailureDomain), m.table.Missing(m.self.FailureDomain, after)
 }
+
+// Spread returns a small number that differs from VM to VM. Nodes that may ask
+// any of several relays start with the one at that number, so that the relays
+// share the load.
+func Spread(vm string) int { return int(xxh3.HashString(vm) % membership.RelaysPerDomain) }
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -79,8 +79,20 @@
 	services  map[string]*subscription
 	seedDue   time.Time
 	seedNext  int
-	// primary is the relay that is asked for changes.
+	// primary is the relay that is asked for changes; each node starts with
+	// another one.
 	primary int
+	// rounds counts the rounds of reports.
+	rounds int
+	relays relayCache
+}
+
+// relayCache holds the relays as of a sequence number of the table.
+type relayCache struct {
+	valid    bool
+	sequence uint64
+	own      []membership.Entry
+	others   map[string][]membership.Entry
 }
 
 // domainState is what a relay knows of another failure domain.
@@ -142,6 +154,7 @@
 		CallerAddress: ctx.Node.Advertise.Callers,
 		AdminAddress:  ctx.Node.Advertise.Admin,
 	}
+	m.primary = Spread(m.self.VM)
 	m.mu.Lock()
 	m.table.Hear(m.self, m.clock.Now())
 	m.publish()
@@ -214,9 +227,30 @@
 }
 
 // ownRelays returns the relays of the own failure domain, among the VMs that
-// this node knows. The caller holds m.mu.
+// this node knows. The caller holds m.mu and does not change the slice.
 func (m *Module) ownRelays() []membership.Entry {
-	return membership.Relays(m.table.Domain(m.self.FailureDomain))
+	m.refreshRelays()
+	return m.relays.own
+}
+
+// otherRelays returns the relays of each other failure domain, also of those
+// that are unheard. The caller holds m.mu and does not change the map.
+func (m *Module) otherRelays() map[string][]membership.Entry {
+	m.refreshRelays()
+	return m.relays.others
+}
+
+func (m *Module) refreshRelays() {
+	if m.relays.valid && m.relays.sequence == m.table.Sequence() {
+		return
+	}
+	m.relays = relayCache{valid: true, sequence: m.table.Sequence(), others: map[string][]membership.Entry{}}
+	m.relays.own = membership.Relays(m.table.Domain(m.self.FailureDomain))
+	for _, domain := range m.table.Domains() {
+		if domain != m.self.FailureDomain {
+			m.relays.others[domain] = membership.Relays(m.table.Known(domain))
+		}
+	}
 }
 
 // lookup returns the VMs of a service. On the first call for the service it
--- a/plugin/membership/report.go
+++ b/plugin/membership/report.go
@@ -10,6 +10,10 @@
 	"github.com/mangomast/mangomast/mesh"
 )
 
+// slowRounds is the number of rounds between two reports to the relays that
+// are not asked for changes, and between two of a relay to other relays.
+const slowRounds = 2
+
 // report is what a node tells another about itself, and asks of it.
 type report struct {
 	Entry membership.Entry `cbor:"1,keyasint"`
@@ -47,10 +51,11 @@
 func (m *Module) contacts() []contact {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.rounds++
 	relays := m.ownRelays()
 	relay := membership.Rank(relays, m.self.VM) >= 0
 	contacts := m.ownContacts(relays, relay)
-	if relay {
+	if relay && m.rounds%slowRounds == 0 {
 		contacts = append(contacts, m.domainContacts()...)
 	}
 	now := m.clock.Now()
@@ -73,13 +78,16 @@
 		}
 		c := contact{vm: r.VM, domain: r.FailureDomain, address: r.MeshAddress}
 		c.request = report{Entry: m.self, Cursor: m.cursors[r.VM]}
+		slow := m.rounds%slowRounds == 0
 		switch {
-		case relay:
+		case relay && slow:
 			c.request.Domain = m.self.FailureDomain
-		case i == m.primary%len(relays):
+		case !relay && i == m.primary%len(relays):
 			c.request.Services = m.subscribed()
-		default:
+		case slow:
 			c.request.Quiet = true
+		default:
+			continue
 		}
 		contacts = append(contacts, c)
 	}
@@ -98,12 +106,8 @@
 // domainContacts are one relay of each other failure domain.
 func (m *Module) domainContacts() []contact {
 	var contacts []contact
-	for _, domain := range m.table.Domains() {
-		if domain == m.self.FailureDomain {
-			continue
-		}
+	for domain, relays := range m.otherRelays() {
 		state := m.domain(domain)
-		relays := membership.Relays(m.table.Known(domain))
 		r := relays[state.next%len(relays)]
 		contacts = append(contacts, contact{
 			vm: r.VM, domain: domain, address: r.MeshAddress,
@@ -117,7 +121,7 @@
 func (m *Module) domain(name string) *domainState {
 	state, ok := m.domains[name]
 	if !ok {
-		state = &domainState{heard: m.clock.Now()}
+		state = &domainState{heard: m.clock.Now(), next: Spread(m.self.VM)}
 		m.domains[name] = state
 	}
 	return state
