--- a/config/progress.go
+++ b/config/progress.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"context"
 	"time"
 )
 
@@ -13,3 +14,11 @@
 	// ProofAge returns the age of the proof; ok is false if there is none.
 	ProofAge() (age time.Duration, ok bool)
 }
+
+// Progress says what a revision of the stream still waits for.
+type Progress interface {
+	// WaitsFor returns what stands between the revision and its acceptance, in
+	// words for operators; nothing once it is accepted. It asks a relay and
+	// blocks until that has answered or ctx ends.
+	WaitsFor(ctx context.Context, revision int64) ([]string, error)
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -27,6 +27,10 @@
 	removedAt time.Time
 	// position is the member's place in the order of changes.
 	position *list.Element
+	// doubted is when a relay listed its whole failure domain without the VM;
+	// zero once a relay names it again.
+	doubted   time.Time
+	doubtedBy string
 }
 
 func (m *member) live() bool { return !m.removed && !m.hidden }
@@ -118,6 +122,7 @@
 		t.touch(m)
 		return
 	}
+	m.doubted = time.Time{}
 	if record.Entry.Newer(m.entry) {
 		t.replace(m, record.Entry)
 		m.heard, m.removed = now, false
@@ -142,12 +147,20 @@
 }
 
 // VouchDomain notes that a relay of a failure domain was heard, and shows the
-// domain's VMs again if they were hidden.
-func (t *Table) VouchDomain(domain string, heard time.Time) {
+// domain's VMs again if they were hidden. A VM that the same relay left out of
+// a list of the whole domain, and has not named since doubtLimit, is removed.
+func (t *Table) VouchDomain(domain, relay string, doubtLimit, heard time.Time) {
 	for _, m := range t.domains[domain] {
 		if m.removed {
 			continue
 		}
+		if m.doubtedBy != relay {
+			m.doubted = time.Time{}
+		}
+		if !m.doubted.IsZero() && m.doubted.Before(doubtLimit) {
+			t.remove(m, heard)
+			continue
+		}
 		if heard.After(m.heard) {
 			m.heard = heard
 		}
@@ -158,6 +171,21 @@
 	}
 }
 
+// Doubt notes that a relay listed the whole of its failure domain as the
+// records. It may have started lately and not have heard every VM yet, so the
+// others are not removed at once.
+func (t *Table) Doubt(domain, relay string, records []Record, now time.Time) {
+	listed := map[string]bool{}
+	for _, record := range records {
+		listed[record.Entry.VM] = true
+	}
+	for _, m := range t.domains[domain] {
+		if !listed[m.entry.VM] && m.doubted.IsZero() {
+			m.doubted, m.doubtedBy = now, relay
+		}
+	}
+}
+
 // HideDomain hides the VMs of a failure domain that is unheard as a whole.
 func (t *Table) HideDomain(domain string) {
 	for _, m := range t.domains[domain] {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -60,7 +60,7 @@
 	table.HideDomain("a")
 	assert.Equal(t, len(table.Entries()), 0)
 	assert.Equal(t, len(table.Known("a")), 1)
-	table.VouchDomain("a", start.Add(time.Minute))
+	table.VouchDomain("a", "r", start, start.Add(time.Minute))
 	assert.Equal(t, len(table.Entries()), 1)
 }
 
@@ -99,3 +99,23 @@
 		assert.DeepEqual(t, Relays(rapid.Permutation(subset).Draw(t, "order")), relays)
 	})
 }
+
+// All VMs of a domain were replaced while it was unheard.
+func TestReplacedDomainForgetsItsOldVMs(t *testing.T) {
+	table := NewTable()
+	table.Hear(entry("old", 5, 1), start)
+	table.Hear(entry("slow", 5, 1), start)
+	table.HideDomain("a")
+	listed := []Record{{Entry: entry("new", 9, 1)}}
+	table.Learn(listed[0], true, start)
+	table.Doubt("a", "new", listed, start)
+	table.VouchDomain("a", "new", start.Add(-1), start)
+	assert.Equal(t, len(table.Entries()), 3)
+	table.Learn(Record{Entry: entry("slow", 5, 1)}, true, start.Add(time.Second))
+	table.VouchDomain("a", "new", start.Add(1), start.Add(time.Minute))
+	names := []string{}
+	for _, e := range table.Entries() {
+		names = append(names, e.VM)
+	}
+	assert.DeepEqual(t, names, []string{"new", "slow"})
+}
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -36,7 +36,7 @@
 			case 3:
 				table.HideDomain(domain)
 			case 4:
-				table.VouchDomain(domain, now)
+				table.VouchDomain(domain, "relay", now, now)
 			}
 			earlier, before := view, view.All()
 			view = view.With(table.Changes(seen, func(Record) bool { return true }))
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -140,6 +140,8 @@
 	m.asking = map[string]bool{}
 	m.failures = map[string]int{}
 	m.mesh.Handle(mesh.KindRevision, mesh.Typed(m.serveQuestion))
+	m.mesh.Handle(mesh.KindProgress, mesh.Typed(m.serveProgress))
+	kernel.Provide[config.Progress](ctx, m)
 	kernel.Provide[config.Source](ctx, m)
 	kernel.Provide[config.Freshness](ctx, m)
 	kernel.Provide(ctx, m)
--- /dev/null
+++ b/plugin/config/progress.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/mesh"
+)
+
+var _ config.Progress = (*Module)(nil)
+
+// progressQuestion asks a relay what a revision waits for.
+type progressQuestion struct {
+	Revision int64 `cbor:"1,keyasint"`
+}
+
+type progressAnswer struct {
+	WaitsFor []string `cbor:"1,keyasint,omitempty"`
+}
+
+// WaitsFor implements config.Progress.
+func (m *Module) WaitsFor(ctx context.Context, wanted int64) ([]string, error) {
+	relays, rank := m.members.Position()
+	if rank >= 0 {
+		return m.waitsFor(wanted), nil
+	}
+	var answer progressAnswer
+	var err error
+	for _, r := range relays {
+		if err = m.askProgress(ctx, mesh.Peer{VM: r.VM, Address: r.MeshAddress}, wanted, &answer); err == nil {
+			return answer.WaitsFor, nil
+		}
+	}
+	return nil, err
+}
+
+func (m *Module) askProgress(ctx context.Context, peer mesh.Peer, wanted int64, answer *progressAnswer) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return m.mesh.Exchange(ctx, peer, mesh.KindProgress, progressQuestion{Revision: wanted}, answer)
+}
+
+func (m *Module) serveProgress(_ context.Context, _ mesh.Identity, q progressQuestion) (progressAnswer, error) {
+	return progressAnswer{WaitsFor: m.waitsFor(q.Revision)}, nil
+}
+
+// waitsFor lists what this relay waits for.
+func (m *Module) waitsFor(wanted int64) []string {
+	if m.Accepted() >= wanted {
+		return nil
+	}
+	own := m.newReport()
+	_, missing := m.members.OwnDomain(m.clock.Now().Add(-m.Bound.Std()))
+	relays := m.members.OtherRelays()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var waits []string
+	if m.held() < wanted {
+		waits = append(waits, "the store to be read")
+	} else if !m.attested.Acknowledged(m.witnesses, m.settled(), wanted) {
+		waits = append(waits, "a majority of the failure domains")
+	}
+	for _, entry := range missing {
+		waits = append(waits, fmt.Sprintf("VM %s, unheard", entry.VM))
+	}
+	if own != nil && own.Held < wanted {
+		waits = append(waits, "VMs of failure domain "+own.Domain)
+	}
+	now := m.clock.Now()
+	var domains []string
+	for domain := range relays {
+		domains = append(domains, domain)
+	}
+	slices.Sort(domains)
+	for _, domain := range domains {
+		report, ok := m.reports[domain]
+		switch {
+		case m.domainHolds(domain, wanted, now):
+		case !ok || now.Sub(report.taken) > m.Bound.Std():
+			waits = append(waits, fmt.Sprintf("failure domain %s, unheard", domain))
+		default:
+			waits = append(waits, "VMs of failure domain "+domain)
+		}
+	}
+	return waits
+}
--- a/plugin/membership/report.go
+++ b/plugin/membership/report.go
@@ -14,6 +14,10 @@
 // are not asked for changes, and between two of a relay to other relays.
 const slowRounds = 2
 
+// doubtExpiries is the number of expiries after which a VM is removed that a
+// relay of its failure domain does not list.
+const doubtExpiries = 2
+
 // report is what a node tells another about itself, and asks of it.
 type report struct {
 	Entry membership.Entry `cbor:"1,keyasint"`
@@ -174,7 +178,10 @@
 	}
 	if !own {
 		m.domain(answer.Domain).heard = now
-		m.table.VouchDomain(answer.Domain, now)
+		if c.request.Domain == answer.Domain && c.request.Cursor.Incarnation != answer.Cursor.Incarnation {
+			m.table.Doubt(answer.Domain, answer.VM, answer.Records, now)
+		}
+		m.table.VouchDomain(answer.Domain, answer.VM, now.Add(-doubtExpiries*m.Expiry.Std()), now)
 	}
 	if c.request.Quiet || c.vm == "" {
 		return
--- a/plugin/operator/operator.go
+++ b/plugin/operator/operator.go
@@ -75,6 +75,9 @@
 	if service.config, err = kernel.Require[config.Source](ctx); err != nil {
 		return err
 	}
+	if service.stream, err = kernel.Require[config.Progress](ctx); err != nil {
+		return err
+	}
 	if service.fleet, err = kernel.Require[membership.Directory](ctx); err != nil {
 		return err
 	}
@@ -94,6 +97,7 @@
 	Editor *edit.Editor
 	static []config.Operator
 	config config.Source
+	stream config.Progress
 	fleet  membership.Directory
 }
 
@@ -139,7 +143,14 @@
 	if err != nil {
 		return nil, operator.Progress{}, errors.Wrap(err, "list the fleet's VMs")
 	}
-	return members, s.progressOf(members, revision), nil
+	p := s.progressOf(members, revision)
+	if p.Accepted {
+		return members, p, nil
+	}
+	if reasons, err := s.stream.WaitsFor(ctx, revision); err == nil {
+		p.Waiting = append(p.Waiting, reasons...)
+	}
+	return members, p, nil
 }
 
 // GrantKey makes a key and returns it with the change that added its hash.
