--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -95,6 +95,9 @@
 	reportedAt time.Time
 	// asking holds the addresses with a question outstanding.
 	asking map[string]bool
+	// firstSilent is true if the first relay of the own failure domain did not
+	// answer the last question.
+	firstSilent bool
 	// failures rotates through the relays of a failure domain.
 	failures map[string]int
 }
@@ -140,6 +143,8 @@
 	m.asking = map[string]bool{}
 	m.failures = map[string]int{}
 	m.mesh.Handle(mesh.KindRevision, mesh.Typed(m.serveQuestion))
+	m.mesh.Handle(mesh.KindProgress, mesh.Typed(m.serveProgress))
+	kernel.Provide[config.Progress](ctx, m)
 	kernel.Provide[config.Source](ctx, m)
 	kernel.Provide[config.Freshness](ctx, m)
 	kernel.Provide(ctx, m)
