Measure fair shares with one organisation at eight times its rate

Cause: nothing showed how the worst-served organisation fares beside a greedy one.

Change: mangomast-bench fairness runs eight organisations, seven at 0.9 of their rate and one at eight times, on four VMs that can do 1.1 of the sum of the rates; all callers retry three times. It compares the layer with the quota and shedding off and with callers straight to the upstreams.

--- /dev/null
+++ b/internal/bench/fairness.go
@@ -0,0 +1,241 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/load"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/jsonc"
+)
+
+func init() {
+	Register(Case{Name: "fairness", Help: "one organisation at eight times its rate, seven within theirs, near the upstreams' capacity", Run: runFairness})
+}
+
+// Load of the fairness case. The upstreams can do fairVMs*fairSlots/fairWork
+// requests a second, 356, which is 1.1 of the sum of the rates.
+const (
+	fairOrgs     = 8
+	fairRate     = 40.0
+	fairBurst    = 20.0
+	fairWithin   = 0.9
+	fairGreedy   = 8.0
+	fairVMs      = 4
+	fairSlots    = 4
+	fairWork     = 45 * time.Millisecond
+	fairWarm     = 2 * time.Second
+	fairLength   = 10 * time.Second
+	fairServed   = 0.98
+	fairWrongful = 0.005
+)
+
+// fairMode is one way to serve the callers.
+type fairMode struct {
+	name     string
+	straight bool
+	modules  map[string]json.RawMessage
+}
+
+// fairOrg counts one organisation's requests and the attempts made for them.
+type fairOrg struct {
+	Sent     int `json:"sent"`
+	OK       int `json:"ok"`
+	Attempts int `json:"attempts"`
+	// Refused counts the attempts that were refused and not run.
+	Refused int `json:"refused"`
+}
+
+func (o fairOrg) served() float64 { return float64(o.OK) / float64(max(1, o.Sent)) }
+
+func (o fairOrg) refused() float64 { return float64(o.Refused) / float64(max(1, o.Attempts)) }
+
+// fairRow is what one mode measured.
+type fairRow struct {
+	Mode string `json:"mode"`
+	// Worst is the part of the demand that was served of the worst-served
+	// organisation within its rate, Wrongful the part of the attempts of all
+	// seven that was refused.
+	Worst    float64   `json:"worst_served"`
+	Wrongful float64   `json:"wrongful_refusals"`
+	Greedy   float64   `json:"greedy_per_second"`
+	Goodput  float64   `json:"goodput_per_second"`
+	Orgs     []fairOrg `json:"organisations"`
+}
+
+type fairFigures struct {
+	Modes []fairRow `json:"modes"`
+}
+
+func runFairness(ctx context.Context, env *Env) (*Report, error) {
+	off := sheddingOff()
+	off["quota"] = json.RawMessage(`{"mode": "off"}`)
+	modes := []fairMode{{name: "layer"}, {name: "quota and shedding off", modules: off}, {name: "straight", straight: true}}
+	rows := make([]fairRow, len(modes))
+	var err error
+	if rows[0], err = measureFairness(ctx, env, modes[0]); err != nil {
+		return nil, err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	for i := 1; i < len(modes); i++ {
+		group.Go(func() (err error) {
+			rows[i], err = measureFairness(groupCtx, env, modes[i])
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return fairReport(rows), nil
+}
+
+func fairReport(rows []fairRow) *Report {
+	report := &Report{
+		Holds:   rows[0].Worst >= fairServed && rows[0].Wrongful <= fairWrongful,
+		Figures: &fairFigures{Modes: rows},
+		Header:  []string{"mode", "worst of seven served", "wrongful refusals", "greedy/s", "goodput/s"},
+	}
+	for _, r := range rows {
+		report.Rows = append(report.Rows, []string{
+			r.Mode, fmt.Sprintf("%.4f", r.Worst), fmt.Sprintf("%.4f", r.Wrongful), fmt.Sprintf("%.0f", r.Greedy), fmt.Sprintf("%.0f", r.Goodput),
+		})
+	}
+	return report
+}
+
+// fairRun is one mode being measured.
+type fairRun struct {
+	fleet   *rig.Rig
+	mode    fairMode
+	seed    uint64
+	keys    []Key
+	client  *http.Client
+	started time.Time
+
+	mu   sync.Mutex
+	orgs []fairOrg
+}
+
+func measureFairness(ctx context.Context, env *Env, mode fairMode) (fairRow, error) {
+	doc := &config.Document{}
+	keys := NewOrganisations(doc, fairOrgs, fairRate, fairBurst)
+	AddService(doc, "fares", func(r *config.Route) { r.Deadline = jsonc.Duration(callerTimeout) })
+	nodes := Spread("fares", fairVMs, fairSlots, standin.Behaviour{WorkMicros: int(fairWork.Microseconds()), Jitter: workJitter})
+	for i := range nodes {
+		nodes[i].Modules = mode.modules
+	}
+	AddDomains(doc, nodes)
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return fairRow{}, err
+	}
+	defer fleet.Close()
+	run := &fairRun{
+		fleet: fleet, mode: mode, seed: env.Seed, keys: keys, client: newCaller(callerTimeout),
+		started: time.Now(), orgs: make([]fairOrg, fairOrgs),
+	}
+	run.drive(ctx)
+	return run.row(), nil
+}
+
+// drive sends every organisation's demand; the first one is greedy.
+func (run *fairRun) drive(ctx context.Context) {
+	var group sync.WaitGroup
+	for org := range fairOrgs {
+		demand := fairWithin * fairRate
+		if org == 0 {
+			demand = fairGreedy * fairRate
+		}
+		group.Go(func() {
+			load.Run(ctx, load.Options{Rate: demand, Duration: fairWarm + fairLength, Do: run.request(org)})
+		})
+	}
+	group.Wait()
+}
+
+// request returns the function that sends one request, with the caller's own
+// retries. Requests of the warm-up are not counted.
+func (run *fairRun) request(org int) func(context.Context, int) load.Sample {
+	return func(ctx context.Context, number int) load.Sample {
+		random := rand.New(rand.NewPCG(run.seed, uint64(org)<<32+uint64(number)))
+		counted := time.Since(run.started) >= fairWarm
+		one := fairOrg{Sent: 1}
+		for attempt := 0; attempt <= callerRetries && one.OK == 0; attempt++ {
+			if attempt > 0 {
+				time.Sleep(callerPause)
+			}
+			one.Attempts++
+			ok, refused := run.attempt(ctx, run.fleet.Nodes[random.IntN(fairVMs)], run.keys[org])
+			if ok {
+				one.OK = 1
+			}
+			if refused {
+				one.Refused++
+			}
+		}
+		if counted {
+			run.add(org, one)
+		}
+		return load.Sample{OK: one.OK == 1}
+	}
+}
+
+func (run *fairRun) add(org int, one fairOrg) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	sum := &run.orgs[org]
+	sum.Sent++
+	sum.OK += one.OK
+	sum.Attempts += one.Attempts
+	sum.Refused += one.Refused
+}
+
+func (run *fairRun) attempt(ctx context.Context, node *rig.Node, key Key) (ok, refused bool) {
+	address := node.Callers
+	if run.mode.straight {
+		address = node.UpstreamAddress
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/fares/quote?bytes=64", http.NoBody)
+	if err != nil {
+		return false, false
+	}
+	req.Header.Set("Authorization", "Bearer "+key.Secret)
+	resp, err := run.client.Do(req)
+	if err != nil {
+		return false, false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	refused = resp.Header.Get(call.HeaderOutcome) == call.Refused.String()
+	return err == nil && resp.StatusCode == http.StatusOK, refused
+}
+
+func (run *fairRun) row() fairRow {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	row := fairRow{Mode: run.mode.name, Worst: 1, Orgs: run.orgs}
+	var within fairOrg
+	for i, org := range run.orgs {
+		row.Goodput += float64(org.OK) / fairLength.Seconds()
+		if i == 0 {
+			row.Greedy = row.Goodput
+			continue
+		}
+		row.Worst = min(row.Worst, org.served())
+		within.Attempts += org.Attempts
+		within.Refused += org.Refused
+	}
+	row.Wrongful = within.refused()
+	return row
+}
