--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -4,6 +4,7 @@
 import (
 	// The modules register themselves.
 	_ "github.com/mangomast/mangomast/plugin/admin"
+	_ "github.com/mangomast/mangomast/plugin/claims"
 	_ "github.com/mangomast/mangomast/plugin/config"
 	_ "github.com/mangomast/mangomast/plugin/console"
 	_ "github.com/mangomast/mangomast/plugin/dispatch"
@@ -13,6 +14,7 @@
 	_ "github.com/mangomast/mangomast/plugin/membership"
 	_ "github.com/mangomast/mangomast/plugin/mesh"
 	_ "github.com/mangomast/mangomast/plugin/operator"
+	_ "github.com/mangomast/mangomast/plugin/quarantine"
 	_ "github.com/mangomast/mangomast/plugin/quota"
 	_ "github.com/mangomast/mangomast/plugin/store"
 )
