Eject a VM after a few failures however long it was good

Cause: the share of failures faded with time, so a VM that failed after 3 s of success at 75 requests/s got 37 more requests from one node before it was left out. At a fleet's start, while limits are small, the rule that the others must be able to bear the loss kept a VM that served nothing. A new VM's room was rounded to less than one request, so it stood idle (1 to 72 requests in 5 s).

Excluded: a shorter time constant (the count it needs grows with the rate); comparing with the peers' pooled share (a failure of all VMs that begins suddenly ejects half of them, the property test showed).

Change: the share is an average over results and is compared with the median of the peers; five failures in a row mean that a VM serves nothing; a new VM has room for one request; load counts the requests before the new one, which matters for limits near 1.

--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -147,6 +147,37 @@
 	})
 }
 
+// TestFailureAfterLongSuccess lets one VM, or all, begin to fail after many
+// successes: one is left out after a few failures, and if all fail none stays
+// out.
+func TestFailureAfterLongSuccess(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := entries(rapid.IntRange(2, 8).Draw(t, "count"), "riga-a", "riga-b")
+		b := newTestBalancer(rapid.Uint64().Draw(t, "seed"), nil)
+		all := rapid.Bool().Draw(t, "all")
+		const requests, onset = 3000, 1500
+		failures := 0
+		var now time.Time
+		for i := range requests {
+			now = testStart.Add(time.Duration(i) * time.Millisecond)
+			send(b, list, now, func(vm string) *call.Reply {
+				if i < onset || !all && vm != "vm-0" {
+					return answered(http.StatusOK)
+				}
+				failures++
+				return answered(http.StatusInternalServerError)
+			})
+		}
+		if !all {
+			assert.Assert(t, failures <= 8, "%d failures at the failing VM", failures)
+			return
+		}
+		for name, v := range b.vms {
+			assert.Assert(t, !v.ejected(now), "%s is ejected though all fail", name)
+		}
+	})
+}
+
 func TestSlowVMIsEjectedOnlyIfTheRestCanBearIt(t *testing.T) {
 	for _, running := range []int{1, 10} {
 		list := entries(3, "riga-a")
@@ -171,6 +202,16 @@
 	}
 }
 
+// TestIdleNewVMIsUsed gives a new VM that is alone in the own failure domain
+// its first request, though its room is small.
+func TestIdleNewVMIsUsed(t *testing.T) {
+	list := entries(2, "riga-a", "riga-b")
+	b := newTestBalancer(1, nil)
+	ok := func(string) *call.Reply { return answered(http.StatusOK) }
+	send(b, slices.Clone(list[1:]), testStart, ok)
+	assert.Equal(t, send(b, list, testStart.Add(time.Minute), ok), "vm-0")
+}
+
 func TestNewVMRampsUp(t *testing.T) {
 	list := entries(4, "riga-a")
 	b := newTestBalancer(1, nil)
@@ -203,10 +244,10 @@
 		b.Begin(attempt, entry)
 		domains = append(domains, entry.FailureDomain)
 	}
-	assert.DeepEqual(t, domains[:7], slices.Repeat([]string{"riga-a"}, 7))
-	assert.Equal(t, domains[7], "riga-b")
+	assert.DeepEqual(t, domains[:8], slices.Repeat([]string{"riga-a"}, 8))
+	assert.Equal(t, domains[8], "riga-b")
 	first := slices.Index(domains, "jurmala-a")
-	assert.Assert(t, first >= 16, "spilled to the other region at request %d", first)
+	assert.Assert(t, first >= 20, "spilled to the other region at request %d", first)
 }
 
 // TestSpillBytesAreBounded keeps the own region full: what crosses must stay
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -24,7 +24,7 @@
 	anyVM
 )
 
-// saturated is the load above which a VM that was ejected for its latency is
+// saturated is the load from which a VM that was ejected for its latency is
 // better than none.
 const saturated = 1
 
@@ -33,7 +33,7 @@
 	switch {
 	case !ok:
 		m, _, ok = c.choose(anyVM)
-	case load > saturated:
+	case load >= saturated:
 		if other, otherLoad, found := c.choose(withSlow); found && otherLoad < load {
 			m = other
 		}
@@ -131,13 +131,19 @@
 	return m.vm.ramp(c.attempt.Now, c.opts.Ramp) / c.maxRamp
 }
 
-// load returns the VM's load with this request, as a share of what it can
-// carry so far.
-func (c *choice) load(m member) float64 {
-	return m.vm.load(c.attempt.Now, c.opts.LoadHalfLife) / c.ramp(m)
+// room returns the requests that the VM can carry so far, at least 1.
+func (c *choice) room(m member) float64 {
+	return max(1, m.vm.capacity()*c.ramp(m))
 }
 
-// cost weighs the load by the latency relative to the other VMs and by the
+func (c *choice) running(m member) float64 {
+	return m.vm.running(c.attempt.Now, c.opts.LoadHalfLife)
+}
+
+// load returns the VM's load as a share of its room.
+func (c *choice) load(m member) float64 { return c.running(m) / c.room(m) }
+
+// cost weighs the load with one more request by the latency relative to the other VMs and by the
 // share of failures.
 func (c *choice) cost(m member) float64 {
 	const minFactor, maxFactor = 0.5, 4
@@ -145,6 +151,5 @@
 	if mean := m.vm.latency.mean(); mean > 0 && c.service.median > 0 {
 		factor = max(minFactor, min(maxFactor, mean/c.service.median))
 	}
-	failures := m.vm.failureRate(c.attempt.Now, c.opts.Outliers.Memory)
-	return c.load(m) * factor * (1 + maxFactor*failures)
+	return (c.running(m) + 1) / c.room(m) * factor * (1 + maxFactor*m.vm.failureRate)
 }
--- a/routing/options.go
+++ b/routing/options.go
@@ -36,8 +36,9 @@
 	Memory time.Duration
 	// MinFailures is the number of recent failures that ejects a VM.
 	MinFailures float64
-	// FailureMargin is how far a VM's share of failures must be above that of
-	// the other VMs of its service.
+	// FailureMargin is how far a VM's share of failures must be above the
+	// median of the other VMs of its service. If the median is above it too,
+	// the cause is elsewhere.
 	FailureMargin float64
 	// LatencyFactor is how many times the median latency of the other VMs a
 	// VM's latency must be; MinLatencies is the number of recent answers that
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -9,9 +9,9 @@
 // so that differences no caller notices eject nobody.
 const minLatencyExcess = 0.005
 
-// uselessFailureRate is the share of failures above which a VM's loss cannot
-// harm the others.
-const uselessFailureRate = 0.9
+// uselessStreak is the number of failures in a row from which a VM's loss
+// cannot harm the others.
+const uselessStreak = 5
 
 // peers are the VMs of one service that this node uses.
 type peers struct {
@@ -42,9 +42,9 @@
 	}
 }
 
-// fails reports whether the VM fails often, and then either more than its
-// peers (failing) or like them (alike). Peers of which nothing is known are
-// taken for good: the requests that they get then tell.
+// fails reports whether the VM fails often while most of its peers do not
+// (failing), or most of them do (alike). Peers of which nothing is known are
+// left out: the requests that they get next then tell.
 func (p peers) fails(v *vm, now time.Time) (failing, alike bool) {
 	const rounding = 0.5
 	needed := p.opts.MinFailures
@@ -54,21 +54,17 @@
 	if v.failures.at(now, p.opts.Memory) < needed-rounding {
 		return false, false
 	}
-	failures, all := 0.0, 0.0
+	var rates []float64
 	for _, other := range p.vms {
-		if other != v {
-			f := other.failures.at(now, p.opts.Memory) + other.pastFailures.at(now, p.opts.Memory)
-			failures += f
-			all += f + other.successes.at(now, p.opts.Memory) + other.pastSuccesses.at(now, p.opts.Memory)
+		if rate, ok := other.evidence(now, p.opts.Memory); ok && other != v {
+			rates = append(rates, rate)
 		}
 	}
-	peerRate := 0.0
-	if all > 0 {
-		peerRate = failures / all
+	typical := lowerMedian(rates)
+	if typical >= p.opts.FailureMargin {
+		return false, true
 	}
-	rate := v.failureRate(now, p.opts.Memory)
-	failing = rate >= peerRate+p.opts.FailureMargin
-	return failing, !failing && peerRate >= p.opts.FailureMargin
+	return v.failureRate >= typical+p.opts.FailureMargin, false
 }
 
 // release ends the ejections for failures; the VMs come back at full weight.
@@ -98,11 +94,16 @@
 			means = append(means, mean)
 		}
 	}
-	if len(means) == 0 {
+	return lowerMedian(means)
+}
+
+// lowerMedian returns the median, the lower of two, or 0 of no values.
+func lowerMedian(values []float64) float64 {
+	if len(values) == 0 {
 		return 0
 	}
-	slices.Sort(means)
-	return means[(len(means)-1)/2]
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
 }
 
 // spares reports whether the service can do without the VM.
@@ -121,8 +122,7 @@
 	if float64(ejected) > p.opts.MaxShare*float64(len(p.vms)) {
 		return false
 	}
-	useless := v.failureRate(now, p.opts.Memory) >= uselessFailureRate
-	return useless || demand <= p.opts.MaxLoad*capacity
+	return v.streak >= uselessStreak || demand <= p.opts.MaxLoad*capacity
 }
 
 func (p peers) eject(v *vm, now time.Time, slow bool) {
@@ -131,8 +131,10 @@
 	v.ejections++
 	v.slow = slow
 	v.ejectedUntil = now.Add(length)
-	// The VM starts cold when it comes back, and is judged anew.
+	// The VM starts cold when it comes back, and is judged anew; one failure
+	// less is needed then.
 	v.since = v.ejectedUntil
-	v.pastSuccesses, v.pastFailures = v.successes, v.failures
-	v.successes, v.failures, v.latency = average{}, average{}, latencyAverage{}
+	v.pastRate, v.pastTime = v.failureRate, now
+	v.failureRate = resultGain
+	v.failures, v.latency = average{}, latencyAverage{}
 }
--- a/routing/vm.go
+++ b/routing/vm.go
@@ -9,6 +9,10 @@
 	"github.com/mangomast/mangomast/membership"
 )
 
+// resultGain is the weight of one result in a VM's failure rate: three
+// failures in a row make it 0.39.
+const resultGain = 0.15
+
 // vm is what this node has seen of one VM.
 type vm struct {
 	incarnation uint64
@@ -25,12 +29,17 @@
 	limit    int
 	reported time.Time
 
-	successes average
-	failures  average
-	latency   latencyAverage
-	// pastSuccesses and pastFailures are those that led to the last ejection.
-	pastSuccesses average
-	pastFailures  average
+	// failures fades with time; failureRate is the share of failures among the
+	// last results.
+	failures    average
+	failureRate float64
+	// streak counts the failures since the last success.
+	streak  int
+	judged  time.Time
+	latency latencyAverage
+	// pastRate is the share of failures that led to the ejection at pastTime.
+	pastRate float64
+	pastTime time.Time
 
 	ejectedUntil time.Time
 	ejections    int
@@ -73,11 +82,6 @@
 	return float64(v.slots)
 }
 
-// load returns the VM's load with one more request, as a share of its limit.
-func (v *vm) load(now time.Time, halfLife time.Duration) float64 {
-	return (v.running(now, halfLife) + 1) / v.capacity()
-}
-
 // observe records the result of a try.
 func (v *vm) observe(r Result, memory time.Duration) {
 	v.outstanding = max(0, v.outstanding-1)
@@ -89,18 +93,34 @@
 	switch judge(r.Reply) {
 	case failed:
 		v.failures.add(r.Now, 1, memory)
+		v.result(1, r.Now)
 	case served:
-		v.successes.add(r.Now, 1, memory)
 		v.latency.add(r.Now, r.Latency, memory)
+		v.result(0, r.Now)
+		v.pastRate = 0
+	}
+}
+
+// result takes a failure (1) or success (0) into the failure rate. It counts
+// by results and not by time, so that a busy VM that begins to fail is noticed
+// after as few of them as a quiet one.
+func (v *vm) result(failure float64, now time.Time) {
+	v.failureRate += resultGain * (failure - v.failureRate)
+	v.streak++
+	if failure == 0 {
+		v.streak = 0
 	}
+	v.judged = now
 }
 
-func (v *vm) failureRate(now time.Time, memory time.Duration) float64 {
-	failures, successes := v.failures.at(now, memory), v.successes.at(now, memory)
-	if failures == 0 {
-		return 0
+// evidence returns the failure rate that other VMs are compared with; ok is
+// false if the VM had no result lately.
+func (v *vm) evidence(now time.Time, memory time.Duration) (rate float64, ok bool) {
+	rate, ok = v.failureRate, now.Sub(v.judged) <= memory
+	if now.Sub(v.pastTime) <= memory && v.pastRate > rate {
+		rate, ok = v.pastRate, true
 	}
-	return failures / (failures + successes)
+	return rate, ok
 }
 
 func (v *vm) ejected(now time.Time) bool { return now.Before(v.ejectedUntil) }
