Find other nodes through seeds in the store

Cause: nodes whose settings name no seeds, or only seeds that are gone, never met the fleet. Change: the first relay of a failure domain keeps the addresses of the domain's relays in the store, checked about once a minute; a node that knows no other node reads them every two seconds. mangomast-bench membership ends with a fleet that has no seeds in its settings.

--- a/internal/bench/membership.go
+++ b/internal/bench/membership.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/internal/rig"
 	"github.com/mangomast/mangomast/internal/standin"
@@ -57,6 +59,10 @@
 	if err := run.steps(ctx, pause); err != nil {
 		return nil, err
 	}
+	fleet.Close()
+	if err := run.withoutSeeds(ctx, nodes[:6], doc); err != nil {
+		return nil, err
+	}
 	report := &Report{Holds: true, Figures: run.figures, Header: []string{"step", "members", "all agree", "after s"}}
 	for _, s := range run.figures.Steps {
 		report.Holds = report.Holds && s.Agreed
@@ -76,7 +82,7 @@
 	r.agree(ctx, "first relay of a domain paused, store away", 15, first)
 	time.Sleep(pause)
 	if err := first.Process.Resume(); err != nil {
-		return err
+		return errors.Wrapf(err, "resume %s; it ended: %v; log:\n%s", first.Spec.VM, first.Process.Err(), r.fleet.Logs())
 	}
 	r.agree(ctx, "relay resumed", 16)
 	first.Process.Kill()
@@ -94,6 +100,21 @@
 	return nil
 }
 
+// withoutSeeds starts nodes whose settings name no others; the store's seeds
+// must bring them together.
+func (r *membershipRun) withoutSeeds(ctx context.Context, nodes []rig.NodeSpec, doc *config.Document) error {
+	started := time.Now()
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc, WithoutSeeds: true})
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	r.figures.Steps = append(r.figures.Steps, membershipStep{
+		Name: "started without seeds in the settings", Members: len(nodes), Agreed: true, Seconds: time.Since(started).Seconds(),
+	})
+	return nil
+}
+
 // relay returns the first relay of the failure domain of a node.
 func (r *membershipRun) relay(index int) *rig.Node {
 	return FirstRelay(r.fleet, r.fleet.Nodes[index].Spec.FailureDomain)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -60,6 +60,8 @@
 	Nodes    []NodeSpec
 	Document *config.Document
 	LogLevel string
+	// WithoutSeeds leaves the seeds out of the nodes' settings.
+	WithoutSeeds bool
 }
 
 // Node is one running VM.
@@ -198,7 +200,7 @@
 		LogLevel:    r.opts.LogLevel,
 		Modules:     node.Spec.Modules,
 	}
-	for _, other := range r.Nodes[:min(len(r.Nodes), maxSeeds)] {
+	for _, other := range r.Nodes[:min(len(r.Nodes), r.seedCount())] {
 		s.Seeds = append(s.Seeds, other.MeshProxy)
 	}
 	data, err := json.Marshal(s)
@@ -209,6 +211,13 @@
 	return errors.Wrap(os.WriteFile(node.settings, data, 0o600), "write settings")
 }
 
+func (r *Rig) seedCount() int {
+	if r.opts.WithoutSeeds {
+		return 0
+	}
+	return maxSeeds
+}
+
 // StartNode starts a node's process, or starts it again.
 func (r *Rig) StartNode(node *Node) error {
 	p, err := startProcess(r.dir, node.Spec.VM, filepath.Join(r.binaries, "mangomastd"), "--settings", node.settings)
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -22,6 +22,8 @@
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
 	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
+	storeplugin "github.com/mangomast/mangomast/plugin/store"
+	"github.com/mangomast/mangomast/store"
 )
 
 // ID is the module's ID.
@@ -46,7 +48,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{meshplugin.ID},
+		Needs: []kernel.ID{meshplugin.ID, storeplugin.ID},
 		New: func() kernel.Module {
 			return &Module{Interval: jsonc.Duration(defaultInterval), Expiry: jsonc.Duration(defaultExpiry)}
 		},
@@ -61,11 +63,13 @@
 	// it is taken for gone.
 	Expiry jsonc.Duration `json:"expiry"`
 
-	mesh  *mesh.Mesh
-	clock clockwork.Clock
-	log   log.Interface
-	seeds []string
-	view  atomic.Pointer[membership.View]
+	mesh   *mesh.Mesh
+	store  store.Store
+	prefix string
+	clock  clockwork.Clock
+	log    log.Interface
+	seeds  []string
+	view   atomic.Pointer[membership.View]
 	// urgent starts the next round at once.
 	urgent chan struct{}
 
@@ -79,6 +83,8 @@
 	services  map[string]*subscription
 	seedDue   time.Time
 	seedNext  int
+	// storeSeeds are the seeds last read from the store.
+	storeSeeds []string
 	// primary is the relay that is asked for changes; each node starts with
 	// another one.
 	primary int
@@ -131,7 +137,11 @@
 	if err != nil {
 		return err
 	}
+	if m.store, err = kernel.Require[store.Store](ctx); err != nil {
+		return err
+	}
 	m.mesh, m.clock, m.log = fabric, ctx.Clock, ctx.Log
+	m.prefix = ctx.Node.Store.Prefix
 	m.seeds = ctx.Node.Seeds
 	m.table = membership.NewTable()
 	m.view.Store(membership.NewView(nil))
@@ -261,7 +271,7 @@
 
 // Actors implements kernel.ActorSource.
 func (m *Module) Actors() []kernel.Actor {
-	return []kernel.Actor{{Name: "report", Run: m.run}}
+	return []kernel.Actor{{Name: "report", Run: m.run}, {Name: "keep seeds", Run: m.keepSeeds}}
 }
 
 func (m *Module) run(ctx context.Context) error {
--- a/plugin/membership/report.go
+++ b/plugin/membership/report.go
@@ -63,10 +63,11 @@
 		contacts = append(contacts, m.domainContacts()...)
 	}
 	now := m.clock.Now()
-	if len(m.seeds) > 0 && (!now.Before(m.seedDue) || len(contacts) == 0) {
+	seeds := append(slices.Clone(m.seeds), m.storeSeeds...)
+	if len(seeds) > 0 && (!now.Before(m.seedDue) || len(contacts) == 0) {
 		m.seedDue = now.Add(seedInterval)
 		m.seedNext++
-		seed := m.seeds[m.seedNext%len(m.seeds)]
+		seed := seeds[m.seedNext%len(seeds)]
 		contacts = append(contacts, contact{address: seed, request: report{Entry: m.self, AllRelays: true}})
 	}
 	return slices.DeleteFunc(contacts, func(c contact) bool { return c.address == m.self.MeshAddress })
