--- a/plugin/quota/holders.go
+++ b/plugin/quota/holders.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// askTimeout bounds an ask; abandonWait is the time to the next one.
-	askTimeout  = 300 * time.Millisecond
-	abandonWait = 50 * time.Millisecond
+	// askTimeout bounds an ask. The time to the next one grows with each that
+	// fails, and is spread by a half.
+	askTimeout   = 300 * time.Millisecond
+	minAskPause  = 40 * time.Millisecond
+	maxAskPause  = 250 * time.Millisecond
+	askPauseStep = 1.5
 	// maxWaiting bounds the requests of one organisation that wait.
 	maxWaiting = 1000
 	// retryAfter is the mean advice of a refusal.
@@ -41,6 +44,8 @@
 	holder  *quota.Holder
 	waiting int
 	used    time.Time
+	// pause is the time to the next ask after one that failed.
+	pause time.Duration
 	// changed is closed and replaced whenever requests that wait may go on.
 	changed chan struct{}
 	// local is the whole limit, in ModeLocal.
@@ -267,8 +272,10 @@
 	defer h.mu.Unlock()
 	if err != nil {
 		s.log.WithError(err).WithFields(log.Fields{"organisation": ask.Organisation, "owner": owner.VM}).Debug("owner did not answer")
-		h.holder.Abandon(now, ask.Number, abandonWait)
+		h.pause = min(max(minAskPause, time.Duration(askPauseStep*float64(h.pause))), maxAskPause)
+		h.holder.Abandon(now, ask.Number, time.Duration((0.75+rand.Float64()/2)*float64(h.pause)))
 	} else {
+		h.pause = 0
 		s.metrics.askDuration.Observe(now.Sub(started).Seconds())
 		h.holder.Apply(now, answer)
 	}
--- a/plugin/quota/owners.go
+++ b/plugin/quota/owners.go
@@ -24,6 +24,8 @@
 	*Module
 	mu             sync.Mutex
 	byOrganisation map[string]*quota.Owner
+	// settled is the snapshot that needs no further look.
+	settled *config.Snapshot
 }
 
 // run takes up organisations as soon as their term is accepted, and drops
@@ -43,17 +45,17 @@
 
 func (s *owners) refresh() {
 	snapshot := s.config.Snapshot()
-	if snapshot == nil || snapshot.Owners == nil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if snapshot == nil || snapshot.Owners == nil || snapshot == s.settled {
 		return
 	}
 	self := s.mesh.Self()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	mine := map[string]bool{}
+	mine, settled := map[string]bool{}, true
 	for _, entry := range snapshot.Owners.Owners {
 		if entry.VM == self.VM && entry.Incarnation == self.Incarnation {
 			mine[entry.Organisation] = true
-			s.take(snapshot, entry)
+			settled = s.take(snapshot, entry) && settled
 		}
 	}
 	for organisation := range s.byOrganisation {
@@ -61,28 +63,33 @@
 			delete(s.byOrganisation, organisation)
 		}
 	}
+	if settled {
+		s.settled = snapshot
+	}
 }
 
-// take begins a term once it is accepted on every node that may serve. The
-// caller holds the mutex.
-func (s *owners) take(snapshot *config.Snapshot, entry config.Owner) {
-	known := s.byOrganisation[entry.Organisation]
-	limit, ok := limitOf(snapshot, entry.Organisation)
-	if !ok {
-		return
-	}
-	if known != nil && known.Term() == entry.Term {
-		if s.freshness.Lapsed() >= snapshot.Owners.Revision {
-			known.Supersede(s.clock.Now())
+// take begins a term once it is accepted on every node that may serve, and
+// tells its owner when the proofs of earlier terms have run out. It returns
+// whether there is no more to do. The caller holds the mutex.
+func (s *owners) take(snapshot *config.Snapshot, entry config.Owner) bool {
+	org := snapshot.Organisation(entry.Organisation)
+	if org == nil {
+		return true
+	}
+	now, owner := s.clock.Now(), s.byOrganisation[entry.Organisation]
+	if owner == nil || owner.Term() != entry.Term {
+		if s.config.Accepted() < snapshot.Owners.Revision || !s.config.Fresh() {
+			return false
 		}
-		return
+		limit := quota.Limit{Rate: org.Rate, Burst: org.Burst}
+		owner = quota.NewOwner(now, entry.Term, limit, s.freshness.ProofBound(org))
+		s.byOrganisation[entry.Organisation] = owner
+		s.log.WithField("organisation", entry.Organisation).WithField("term", entry.Term).Info("owns the organisation's rate")
 	}
-	if s.config.Accepted() < snapshot.Owners.Revision || !s.config.Fresh() {
-		return
+	if s.freshness.Lapsed() >= snapshot.Owners.Revision {
+		owner.Supersede(now)
 	}
-	s.byOrganisation[entry.Organisation] = quota.NewOwner(
-		s.clock.Now(), entry.Term, limit, s.freshness.ProofBound(snapshot.Organisation(entry.Organisation)))
-	s.log.WithField("organisation", entry.Organisation).WithField("term", entry.Term).Info("owns the organisation's rate")
+	return owner.Settled(now)
 }
 
 // owner returns the organisation's owner if this node is it at this moment.
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -12,14 +12,14 @@
 	headroom = 0.25
 	// ownerReserve is the part of the rate that the owner keeps to answer
 	// holders that run out.
-	ownerReserve = 0.05
+	ownerReserve = 0.1
 	// holdersBurst is the part of the burst that is spread over the holders;
 	// the rest stays with the owner.
-	holdersBurst = 0.5
+	holdersBurst = 0.75
 	// keepTime is the time's worth of demand that a holder keeps as tokens.
 	keepTime = 100 * time.Millisecond
 	// coverTime is the time's worth of demand that a holder's burst covers.
-	coverTime = 200 * time.Millisecond
+	coverTime = 500 * time.Millisecond
 	// askInterval is the time between a holder's asks; it grows with the
 	// number of holders by askIntervalPerHolder, up to a third of the lease.
 	askInterval          = 500 * time.Millisecond
@@ -90,6 +90,9 @@
 	}
 }
 
+// Settled reports whether nothing is unknown any more.
+func (o *Owner) Settled(now time.Time) bool { return !now.Before(o.unknownUntil) }
+
 // Term returns the owner's term.
 func (o *Owner) Term() uint64 { return o.term }
 
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,78 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangomast/mangomast/config"
+)
+
+func TestExcessLooksAtEveryWindow(t *testing.T) {
+	at := func(millis ...int) (times []time.Time) {
+		for _, m := range millis {
+			times = append(times, epoch.Add(time.Duration(m)*time.Millisecond))
+		}
+		return times
+	}
+	limit := Limit{Rate: 10, Burst: 2}
+	assert.Equal(t, Excess(nil, limit), -2.0)
+	assert.Assert(t, Excess(at(0, 0, 100, 200, 300), limit) < 1e-9)
+	// Three at once after a pause, although the average is low.
+	assert.Equal(t, Excess(at(0, 5000, 5000, 5000), limit), 1.0)
+}
+
+func TestAssignReplacesOnlyLostOwners(t *testing.T) {
+	organisations := []config.Organisation{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	candidates := []Candidate{
+		{VM: "vm-1", Incarnation: 1, Region: "riga"},
+		{VM: "vm-2", Incarnation: 1, Region: "riga"},
+		{VM: "vm-3", Incarnation: 1, Region: "jurmala"},
+	}
+	table, changed := Assign(nil, organisations, candidates, "riga")
+	assert.Assert(t, changed)
+	for _, owner := range table.Owners {
+		assert.Equal(t, owner.Term, uint64(firstTerm))
+		assert.Assert(t, owner.VM != "vm-3")
+	}
+	_, changed = Assign(table, organisations, candidates, "riga")
+	assert.Assert(t, !changed)
+
+	// A VM that was started again does not own what its earlier run did.
+	candidates[0].Incarnation = 2
+	next, _ := Assign(table, organisations[:2], candidates, "riga")
+	assert.Equal(t, len(next.Owners), len(table.Owners))
+	for i, owner := range next.Owners[:2] {
+		if before := table.Owners[i]; before.VM == "vm-1" {
+			assert.Equal(t, owner.Term, before.Term+1)
+		} else {
+			assert.Equal(t, owner, before)
+		}
+	}
+	// An organisation that comes back does not start at the first term again.
+	back, _ := Assign(next, organisations, candidates[1:2], "riga")
+	for i, owner := range back.Owners {
+		assert.Equal(t, owner.VM, "vm-2")
+		assert.Assert(t, owner.Term >= table.Owners[i].Term)
+	}
+}
+
+// TestLowerLimitHoldsAtOnce checks that a holder shrinks its share before it
+// hears from its owner, and that the two do not trade at different limits.
+func TestLowerLimitHoldsAtOnce(t *testing.T) {
+	limit, lower := Limit{Rate: 100, Burst: 10}, Limit{Rate: 10, Burst: 2}
+	now := epoch
+	owner, holder := NewOwner(now, firstTerm, limit, proofBound), NewHolder("org", limit)
+	holder.Follow(now, firstTerm, now.Add(proofBound))
+	answer, _, err := owner.Handle(now, HolderID{VM: "vm-1"}, holder.Ask(now, 10))
+	assert.NilError(t, err)
+	assert.Assert(t, holder.Apply(now, answer))
+	assert.Equal(t, holder.bucket.tokens, 10.0)
+
+	holder.SetLimit(now, lower)
+	assert.Assert(t, holder.bucket.tokens <= lower.Burst)
+	assert.Assert(t, holder.bucket.rate <= lower.Rate)
+	_, _, err = owner.Handle(now, HolderID{VM: "vm-1"}, holder.Ask(now, 10))
+	assert.Equal(t, err, ErrLimit)
+}
