Quarantine requests that crash the upstreams that run them

Cause: a request that crashes its upstream was run again by each retry and each re-send, one upstream at a time.

Change: every request that was running when its upstream crashed becomes a suspect by fingerprint (organisation, route, method, target, body). A suspect runs while nothing else does on its upstream: survival settles the suspicion, a second crash quarantines the fingerprint on every VM of the service, until time or an operator lifts it (GET and DELETE of /api/quarantine). The reply is held back until the service's VMs know, 300 ms at most.

Excluded: counting crashes for each fingerprint; a popular innocent request runs beside every crash. Running suspects beside others; a second crash then does not tell which.

--- /dev/null
+++ b/internal/bench/poison.go
@@ -0,0 +1,210 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/client"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/load"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/operator"
+)
+
+func init() {
+	Register(Case{Name: "poison", Help: "a request that crashes whatever runs it stops after two upstreams", Run: runPoison})
+}
+
+const (
+	poisonSends    = 20
+	poisonPause    = 150 * time.Millisecond
+	poisonRate     = 200
+	poisonRestart  = 500 * time.Millisecond
+	maxCrashes     = 2
+	popularTarget  = "/fares/quote?bytes=100&popular=1"
+	ordinaryTarget = "/fares/quote?bytes=100&number=%d"
+	poisonTarget   = "/fares/quote?crash=1"
+)
+
+// poisonFigures are the figures of one arm of the poison case.
+type poisonFigures struct {
+	Sends   int `json:"sends"`
+	Crashes int `json:"crashes"`
+	// Quarantined counts the sends that were refused as quarantined.
+	Quarantined int `json:"quarantined"`
+	Innocent    int `json:"innocent"`
+	// InnocentFailed counts ordinary requests that were not answered;
+	// InnocentQuarantined those refused as quarantined.
+	InnocentFailed      int   `json:"innocent_failed"`
+	InnocentQuarantined int64 `json:"innocent_quarantined"`
+	InnocentP99MS       int64 `json:"innocent_p99_ms"`
+	// Listed counts the quarantined fingerprints that the operators' API
+	// shows; StillListed those after it lifted them all.
+	Listed      int `json:"listed"`
+	StillListed int `json:"still_listed"`
+}
+
+func (f *poisonFigures) cells(name string) []string {
+	return []string{
+		name, fmt.Sprint(f.Sends), fmt.Sprint(f.Crashes), fmt.Sprint(f.Quarantined), fmt.Sprint(f.Innocent),
+		fmt.Sprint(f.InnocentFailed), fmt.Sprint(f.InnocentQuarantined), fmt.Sprint(f.InnocentP99MS),
+		fmt.Sprint(f.Listed), fmt.Sprint(f.StillListed),
+	}
+}
+
+func runPoison(ctx context.Context, _ *Env) (*Report, error) {
+	off, err := poisonRun(ctx, json.RawMessage(`{"disabled": true}`))
+	if err != nil {
+		return nil, err
+	}
+	on, err := poisonRun(ctx, json.RawMessage(`{}`))
+	if err != nil {
+		return nil, err
+	}
+	return &Report{
+		Holds: on.Crashes <= maxCrashes && on.InnocentQuarantined == 0 && on.Quarantined > 0 &&
+			on.Listed == 1 && on.StillListed == 0 && off.Crashes > maxCrashes,
+		Figures: on,
+		Header: []string{
+			"quarantine", "sends", "upstreams crashed", "refused as quarantined", "innocent", "failed", "quarantined", "p99 ms", "listed", "after lift",
+		},
+		Rows: [][]string{off.cells("off"), on.cells("on")},
+	}, nil
+}
+
+func poisonRun(ctx context.Context, settings json.RawMessage) (*poisonFigures, error) {
+	doc := &config.Document{}
+	keys := NewOrganisations(doc, 1, 100_000, 100_000)
+	AddService(doc, "fares", nil)
+	AddService(doc, "other", nil)
+	nodes := append(Spread("fares", 4, 40, standin.Behaviour{WorkMicros: 50_000, Jitter: 1}), Spread("other", 2, 10, standin.Behaviour{})...)
+	token := config.NewKey()
+	operators := fmt.Sprintf(`{"operators": [{"id": "bench", "hash": %q}]}`, operator.HashToken(token))
+	for i := range nodes {
+		nodes[i].Modules = map[string]json.RawMessage{"quarantine": settings, "operator": json.RawMessage(operators)}
+	}
+	AddDomains(doc, nodes)
+	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	p := &poisonExperiment{fleet: fleet, key: keys[0]}
+	figures := p.execute(ctx)
+	return figures, figures.lift(ctx, operator.NewClient("http://"+fleet.Nodes[len(nodes)-1].Admin, token))
+}
+
+// lift lifts every quarantine through a node of another service.
+func (f *poisonFigures) lift(ctx context.Context, operators *operator.Client) error {
+	records, err := operators.Quarantine(ctx, "fares")
+	if err != nil {
+		return err
+	}
+	for _, record := range records {
+		if record.Kind != "quarantined" {
+			continue
+		}
+		f.Listed++
+		if err := operators.LiftQuarantine(ctx, "fares", record.Fingerprint); err != nil {
+			return err
+		}
+	}
+	records, err = operators.Quarantine(ctx, "fares")
+	for _, record := range records {
+		if record.Kind == "quarantined" {
+			f.StillListed++
+		}
+	}
+	return err
+}
+
+// poisonExperiment is one arm of the poison case.
+type poisonExperiment struct {
+	fleet       *rig.Rig
+	key         Key
+	crashes     atomic.Int64
+	quarantined atomic.Int64
+}
+
+func (p *poisonExperiment) execute(ctx context.Context) *poisonFigures {
+	var restarts, sends sync.WaitGroup
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	for _, node := range p.fleet.Nodes {
+		restarts.Go(func() { p.restartCrashed(watchCtx, node) })
+	}
+	var result *load.Result
+	sends.Go(func() { result = p.sendOrdinary(loadCtx) })
+	f := &poisonFigures{Sends: poisonSends}
+	time.Sleep(time.Second)
+	for number := range poisonSends {
+		if p.sendPoison(ctx, p.fleet.Nodes[number%len(p.fleet.Nodes)]) == call.CodeQuarantined.String() {
+			f.Quarantined++
+		}
+		time.Sleep(poisonPause)
+	}
+	stopLoad()
+	sends.Wait()
+	stopWatch()
+	restarts.Wait()
+	f.Crashes = int(p.crashes.Load())
+	f.Innocent, f.InnocentFailed = result.All.Sent, result.All.Sent-result.All.OK
+	f.InnocentQuarantined = p.quarantined.Load()
+	f.InnocentP99MS = result.All.Quantile(99).Milliseconds()
+	return f
+}
+
+// restartCrashed counts the crashes of a node's upstream and starts it again,
+// as the platform does.
+func (p *poisonExperiment) restartCrashed(ctx context.Context, node *rig.Node) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-node.Upstream.Done():
+		}
+		p.crashes.Add(1)
+		time.Sleep(poisonRestart)
+		if p.fleet.StartUpstream(node) != nil {
+			return
+		}
+	}
+}
+
+// sendPoison sends the request that crashes upstreams and returns the reason
+// of its outcome.
+func (p *poisonExperiment) sendPoison(ctx context.Context, node *rig.Node) string {
+	c := client.New(client.Options{Addresses: []string{node.Callers}, Key: p.key.Secret})
+	resp, err := c.Send(ctx, &client.Request{Method: http.MethodGet, Target: poisonTarget, Idempotent: true}, "")
+	if err != nil {
+		return err.Error()
+	}
+	return resp.Reason
+}
+
+// sendOrdinary sends requests of other contents; half of them have the same.
+func (p *poisonExperiment) sendOrdinary(ctx context.Context) *load.Result {
+	addresses := make([]string, 0, len(p.fleet.Nodes))
+	for _, node := range p.fleet.Nodes {
+		addresses = append(addresses, node.Callers)
+	}
+	c := client.New(client.Options{Addresses: addresses, Key: p.key.Secret})
+	return load.Run(ctx, load.Options{Rate: poisonRate, Duration: time.Hour, Do: func(ctx context.Context, number int) load.Sample {
+		req := &client.Request{Method: http.MethodGet, Target: popularTarget, Idempotent: true}
+		if number%2 == 0 {
+			req.Target = fmt.Sprintf(ordinaryTarget, number)
+		}
+		resp, err := c.Do(context.WithoutCancel(ctx), req)
+		if err == nil && resp.Reason == call.CodeQuarantined.String() {
+			p.quarantined.Add(1)
+		}
+		return load.Sample{OK: err == nil && resp.Outcome == call.Answered && resp.Status == http.StatusOK}
+	}})
+}
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -51,6 +51,9 @@
 // through several nodes.
 const KindClaim Kind = 50
 
+// KindQuarantine exchanges records about requests that crash upstreams.
+const KindQuarantine Kind = 40
+
 // Kinds of requests about members and the revision stream.
 const (
 	KindProbe Kind = iota + 20
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
@@ -24,6 +25,7 @@
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
 	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
+	quarantineplugin "github.com/mangomast/mangomast/plugin/quarantine"
 	"github.com/mangomast/mangomast/settings"
 )
 
@@ -42,7 +44,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID, configplugin.ID},
+		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID, configplugin.ID, quarantineplugin.ID},
 		New: func() kernel.Module {
 			return &Module{
 				Shedding: true, MaxWait: jsonc.Duration(defaultMaxWait),
@@ -71,15 +73,18 @@
 
 	once *once
 	// active counts the requests that wait or run here.
-	active   atomic.Int64
-	leftAt   atomic.Pointer[time.Time]
-	clock    clockwork.Clock
-	log      log.Interface
-	vm       string
-	config   config.Source
-	metrics  *metrics
-	running  *call.Registry
-	upstream *upstreamState
+	active atomic.Int64
+	leftAt atomic.Pointer[time.Time]
+	// isolation is shared out to the requests that run.
+	isolation  *semaphore.Weighted
+	quarantine *quarantineplugin.Module
+	clock      clockwork.Clock
+	log        log.Interface
+	vm         string
+	config     config.Source
+	metrics    *metrics
+	running    *call.Registry
+	upstream   *upstreamState
 	// serving is replaced when the upstream's address or size changes.
 	serving atomic.Pointer[serving]
 }
@@ -121,6 +126,10 @@
 	}
 	m.clock, m.log, m.vm = ctx.Clock, ctx.Log, ctx.Node.VM
 	m.metrics = newMetrics(ctx.Registry, m.load)
+	if m.quarantine, err = kernel.Require[*quarantineplugin.Module](ctx); err != nil {
+		return err
+	}
+	m.isolation = newIsolation()
 	m.running = call.NewRegistry()
 	m.once = newOnce(m, fabric.Self(), ctx.Registry)
 	m.upstream = &upstreamState{
--- a/plugin/inbound/serve.go
+++ b/plugin/inbound/serve.go
@@ -36,7 +36,7 @@
 	}
 	running := &call.Running{Head: head, Context: ctx, Deadline: m.clock.Now().Add(head.Timeout)}
 	token := m.running.Begin(running)
-	reply, answer := m.forward(ctx, s, head, body, token)
+	reply, answer := m.runIsolated(ctx, s, head, body, token)
 	reply.RetriesUsed, reply.Children = running.Retries().Seal(), running.Children()
 	m.stamp(s, reply, running)
 	finish := func() {
--- a/plugin/operator/operator.go
+++ b/plugin/operator/operator.go
@@ -23,6 +23,7 @@
 	"github.com/mangomast/mangomast/plugin/admin"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
+	quarantineplugin "github.com/mangomast/mangomast/plugin/quarantine"
 	storeplugin "github.com/mangomast/mangomast/plugin/store"
 	"github.com/mangomast/mangomast/store"
 )
@@ -36,7 +37,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{admin.ID, configplugin.ID, membershipplugin.ID, storeplugin.ID},
+		Needs: []kernel.ID{admin.ID, configplugin.ID, membershipplugin.ID, storeplugin.ID, quarantineplugin.ID},
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -47,8 +48,9 @@
 	// first operator stands here.
 	Operators []config.Operator `json:"operators"`
 
-	service *Service
-	log     log.Interface
+	service    *Service
+	quarantine *quarantineplugin.Module
+	log        log.Interface
 }
 
 var (
@@ -86,6 +88,9 @@
 		return err
 	}
 	service.Editor = edit.NewEditor(backend, ctx.Node.Store.Prefix, ctx.Clock)
+	if m.quarantine, err = kernel.Require[*quarantineplugin.Module](ctx); err != nil {
+		return err
+	}
 	m.service, m.log = service, ctx.Log
 	kernel.Provide(ctx, service)
 	m.register(e)
@@ -199,6 +204,7 @@
 	api.POST(operator.PathKeys, m.serveGrantKey)
 	api.DELETE(operator.PathKeys+"/:id", m.serveWithdrawKey)
 	api.GET(operator.PathProgress, m.serveProgress)
+	m.registerQuarantine(api)
 }
 
 // requireOperator checks the token. The API takes no cookies, so that another
--- /dev/null
+++ b/plugin/quarantine/quarantine.go
@@ -0,0 +1,249 @@
+// Package quarantine spreads what the VMs of a service know of requests that
+// crash upstreams, and provides *Module to the modules that run requests.
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/jsonc"
+	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/ledger"
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
+	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
+	"github.com/mangomast/mangomast/quarantine"
+)
+
+// ID is the module's ID.
+const ID kernel.ID = "quarantine"
+
+const (
+	defaultSuspectFor    = 10 * time.Minute
+	defaultQuarantineFor = 10 * time.Minute
+	defaultMaxRecords    = 1000
+	// spreadTimeout bounds how long the reply of a request that crashed an
+	// upstream is held back until the service's other VMs know.
+	spreadTimeout = 300 * time.Millisecond
+	syncInterval  = 1 * time.Second
+	syncTimeout   = 800 * time.Millisecond
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    ID,
+		Needs: []kernel.ID{meshplugin.ID, membershipplugin.ID},
+		New: func() kernel.Module {
+			return &Module{
+				SuspectFor: jsonc.Duration(defaultSuspectFor), QuarantineFor: jsonc.Duration(defaultQuarantineFor),
+				MaxRecords: defaultMaxRecords,
+			}
+		},
+	})
+}
+
+// Module holds the records of the local upstream's service. It is safe for
+// concurrent use.
+type Module struct {
+	// Disabled treats every request as an ordinary one; for experiments only.
+	Disabled bool `json:"disabled"`
+	// SuspectFor is how long a request is suspected if it never runs again;
+	// QuarantineFor is how long it is refused.
+	SuspectFor    jsonc.Duration `json:"suspect_for"`
+	QuarantineFor jsonc.Duration `json:"quarantine_for"`
+	// MaxRecords bounds what is remembered.
+	MaxRecords int `json:"max_records"`
+
+	clock   clockwork.Clock
+	log     log.Interface
+	mesh    *mesh.Mesh
+	members membership.Source
+	crashes *prometheus.CounterVec
+
+	mu     sync.Mutex
+	table  *quarantine.Table
+	number uint64
+}
+
+var (
+	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Validator   = (*Module)(nil)
+	_ kernel.ActorSource = (*Module)(nil)
+)
+
+// Validate implements kernel.Validator.
+func (m *Module) Validate(prefix string, findings *finding.List) {
+	if m.SuspectFor <= 0 {
+		findings.Addf(prefix+"/suspect_for", "must be above 0s")
+	}
+	if m.QuarantineFor <= 0 {
+		findings.Addf(prefix+"/quarantine_for", "must be above 0s")
+	}
+	if m.MaxRecords < 1 {
+		findings.Addf(prefix+"/max_records", "must be at least 1")
+	}
+}
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.mesh, err = kernel.Require[*mesh.Mesh](ctx); err != nil {
+		return err
+	}
+	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
+		return err
+	}
+	m.clock, m.log = ctx.Clock, ctx.Log
+	m.table = quarantine.NewTable(quarantine.Options{
+		SuspectFor: m.SuspectFor.Std(), QuarantineFor: m.QuarantineFor.Std(), MaxRecords: m.MaxRecords,
+	})
+	m.registerMetrics(ctx.Registry)
+	m.mesh.Handle(mesh.KindQuarantine, mesh.Typed(m.serveExchange))
+	kernel.Provide(ctx, m)
+	return nil
+}
+
+func (m *Module) registerMetrics(registerer prometheus.Registerer) {
+	m.crashes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "mangomast_quarantine_crashes_total",
+		Help: "Requests that were running when the local upstream crashed, by what they became.",
+	}, []string{"kind"})
+	records := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "mangomast_quarantine_records",
+		Help: "Records about suspected and quarantined requests, settled ones included.",
+	}, func() float64 {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return float64(m.table.Len())
+	})
+	registerer.MustRegister(m.crashes, records)
+}
+
+// Verdict returns how a request must be treated.
+func (m *Module) Verdict(fingerprint ledger.Fingerprint) quarantine.Verdict {
+	if m.Disabled {
+		return quarantine.RunTogether
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Verdict(fingerprint, m.clock.Now())
+}
+
+// Crashed records that the request was running when the local upstream
+// crashed. It blocks until the service's other VMs know, or a short timeout.
+func (m *Module) Crashed(head *call.Head, fingerprint ledger.Fingerprint, alone bool) {
+	if m.Disabled {
+		return
+	}
+	self := m.mesh.Self()
+	record := quarantine.Record{
+		Fingerprint: fingerprint, Kind: quarantine.Suspect, Organisation: head.Organisation, Route: head.Route,
+	}
+	if alone {
+		record.Kind = quarantine.Quarantined
+	}
+	m.mu.Lock()
+	m.number++
+	record.ID = quarantine.RecordID{VM: self.VM, Incarnation: self.Incarnation, Number: m.number}
+	m.table.Merge([]quarantine.Record{record}, m.clock.Now())
+	m.mu.Unlock()
+	m.crashes.WithLabelValues(record.Kind.String()).Inc()
+	m.log.WithField("request_id", head.ID).WithField("kind", record.Kind.String()).Warn("local upstream crashed while the request ran")
+	m.spread(head.Service)
+}
+
+// Survived records that a suspect ran alone and the upstream did not crash.
+func (m *Module) Survived(head *call.Head, fingerprint ledger.Fingerprint) {
+	m.mu.Lock()
+	m.table.Settle(fingerprint)
+	m.mu.Unlock()
+	go m.spread(head.Service)
+}
+
+// exchangeMessage carries records between two VMs of a service.
+type exchangeMessage struct {
+	Records []quarantine.Record `cbor:"1,keyasint"`
+}
+
+func (m *Module) records() exchangeMessage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return exchangeMessage{Records: m.table.Records(m.clock.Now())}
+}
+
+func (m *Module) merge(message exchangeMessage) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Merge(message.Records, m.clock.Now())
+}
+
+func (m *Module) serveExchange(_ context.Context, _ mesh.Identity, request exchangeMessage) (exchangeMessage, error) {
+	m.merge(request)
+	return m.records(), nil
+}
+
+// spread exchanges records with the service's other VMs at once.
+func (m *Module) spread(service string) {
+	ctx, cancel := context.WithTimeout(context.Background(), spreadTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, entry := range m.others(service) {
+		group.Go(func() { m.exchange(ctx, entry) })
+	}
+	group.Wait()
+}
+
+func (m *Module) others(service string) []membership.Entry {
+	var others []membership.Entry
+	for _, entry := range m.members.View().Service(service) {
+		if entry.VM != m.mesh.Self().VM {
+			others = append(others, entry)
+		}
+	}
+	return others
+}
+
+func (m *Module) exchange(ctx context.Context, entry membership.Entry) {
+	var answer exchangeMessage
+	peer := mesh.Peer{VM: entry.VM, Address: entry.MeshAddress}
+	if err := m.mesh.Exchange(ctx, peer, mesh.KindQuarantine, m.records(), &answer); err != nil {
+		m.log.WithError(err).WithField("vm", entry.VM).Debug("quarantine records were not exchanged")
+		return
+	}
+	m.merge(answer)
+}
+
+// Actors implements kernel.ActorSource.
+func (m *Module) Actors() []kernel.Actor {
+	return []kernel.Actor{{Name: "synchronize", Run: m.run}}
+}
+
+// run exchanges records with a random other VM of the service, so that a VM
+// that was not reached, or that is new, learns them.
+func (m *Module) run(ctx context.Context) error {
+	ticker := m.clock.NewTicker(syncInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+		}
+		others := m.others(m.members.Self().Service)
+		if len(others) == 0 {
+			continue
+		}
+		syncCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+		m.exchange(syncCtx, others[rand.IntN(len(others))])
+		cancel()
+	}
+}
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -13,6 +13,7 @@
 	_ "github.com/mangomast/mangomast/plugin/membership"
 	_ "github.com/mangomast/mangomast/plugin/mesh"
 	_ "github.com/mangomast/mangomast/plugin/operator"
+	_ "github.com/mangomast/mangomast/plugin/quarantine"
 	_ "github.com/mangomast/mangomast/plugin/quota"
 	_ "github.com/mangomast/mangomast/plugin/store"
 )
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,69 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangomast/mangomast/ledger"
+)
+
+var (
+	start  = time.Unix(1_800_000_000, 0)
+	poison = ledger.Fingerprint{1}
+)
+
+func newTestTable() *Table {
+	return NewTable(Options{SuspectFor: time.Minute, QuarantineFor: 2 * time.Minute, MaxRecords: 3})
+}
+
+func record(number uint64, fingerprint ledger.Fingerprint, kind Kind) Record {
+	return Record{ID: RecordID{VM: "a", Incarnation: 1, Number: number}, Fingerprint: fingerprint, Kind: kind}
+}
+
+func TestSuspectRunsAloneUntilSettled(t *testing.T) {
+	table := newTestTable()
+	assert.Equal(t, table.Verdict(poison, start), RunTogether)
+	assert.Assert(t, table.Merge([]Record{record(1, poison, Suspect)}, start))
+	assert.Equal(t, table.Verdict(poison, start), RunAlone)
+	table.Settle(poison)
+	assert.Equal(t, table.Verdict(poison, start), RunTogether)
+	// The unsettled record of a node that did not hear of it changes nothing.
+	assert.Assert(t, !table.Merge([]Record{record(1, poison, Suspect)}, start))
+	assert.Equal(t, table.Verdict(poison, start), RunTogether)
+	table.Merge([]Record{record(2, poison, Suspect)}, start)
+	assert.Equal(t, table.Verdict(poison, start), RunAlone)
+}
+
+func TestQuarantineIsLiftedByTimeAndByOperators(t *testing.T) {
+	table := newTestTable()
+	table.Merge([]Record{record(1, poison, Suspect), record(2, poison, Quarantined)}, start)
+	assert.Equal(t, table.Verdict(poison, start), Refuse)
+	table.Settle(poison)
+	assert.Equal(t, table.Verdict(poison, start), Refuse)
+	assert.Equal(t, table.Verdict(poison, start.Add(2*time.Minute)), RunTogether)
+	assert.Assert(t, table.Lift(poison))
+	assert.Assert(t, !table.Lift(poison))
+	assert.Equal(t, table.Verdict(poison, start), RunTogether)
+}
+
+func TestMergeIsTheSameInAnyOrder(t *testing.T) {
+	settled := record(1, poison, Suspect)
+	settled.Settled = true
+	first, second := newTestTable(), newTestTable()
+	first.Merge([]Record{record(1, poison, Suspect), settled}, start)
+	second.Merge([]Record{settled, record(1, poison, Suspect)}, start)
+	assert.DeepEqual(t, first.Records(start), second.Records(start))
+}
+
+func TestTableIsBounded(t *testing.T) {
+	table := newTestTable()
+	for i := range uint64(10) {
+		table.Merge([]Record{record(i, ledger.Fingerprint{byte(i)}, Suspect)}, start.Add(time.Duration(i)*time.Second))
+	}
+	assert.Equal(t, table.Len(), 3)
+	assert.Equal(t, table.Verdict(ledger.Fingerprint{9}, start.Add(10*time.Second)), RunAlone)
+	table.Merge(nil, start.Add(time.Hour))
+	assert.Equal(t, table.Len(), 0)
+}
