--- a/plugin/inbound/isolate.go
+++ b/plugin/inbound/isolate.go
@@ -34,18 +34,19 @@
 	if refusal != nil {
 		return refusal, nil
 	}
-	finish := func(broken bool) {
+	finish := func(broken, answered bool) {
 		switch {
 		case broken && upstreamCrashed(s.upstream.Address):
 			m.quarantine.Crashed(head, fingerprint, share == alone)
-		case share == alone:
+		case answered && share == alone:
 			m.quarantine.Survived(head, fingerprint)
 		}
 		m.isolation.Release(share)
 	}
 	reply, answer := m.forward(ctx, s, head, body, token)
 	if answer == nil {
-		finish(reply.Outcome == call.Unknown && reply.Code == call.CodeUpstreamFailed)
+		// A suspect that was not run, or not to its end, stays a suspect.
+		finish(reply.Outcome == call.Unknown && reply.Code == call.CodeUpstreamFailed, false)
 		return reply, nil
 	}
 	return reply, &watchedBody{ReadCloser: answer, finish: finish}
@@ -86,14 +87,18 @@
 // watchedBody notices an answer that breaks off.
 type watchedBody struct {
 	io.ReadCloser
-	broken bool
-	finish func(broken bool)
+	broken, whole bool
+	finish        func(broken, answered bool)
 }
 
 // Read implements io.Reader.
 func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		b.whole = true
+	case !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded):
 		b.broken = true
 	}
 	return n, err
@@ -102,6 +107,6 @@
 // Close implements io.Closer.
 func (b *watchedBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.finish(b.broken)
+	b.finish(b.broken, b.whole)
 	return err
 }
