Claim callers' own idempotency keys in the store

Cause: a caller that sent a request again under its own Idempotency-Key got a new request ID each time, so a request that is not idempotent ran again.

Change: the first send creates the key's record in the store, which names the request ID and its pin. Claims that wait on a node go into one transaction; a lost answer is settled by reading back; an ID that its pin closed is replaced by compare-and-swap; records lapse with a lease. While the store is out nothing new runs under a key.

Excluded: telling "refused" once the pin has closed the key's ID.

Also: a refusal by the second check of a key is told as "unknown" to a request that may have been sent before, like all others.

--- a/internal/bench/atmostonce.go
+++ b/internal/bench/atmostonce.go
@@ -29,6 +29,8 @@
 	onceMaxPause    = 400 * time.Millisecond
 	onceTryTimeout  = 4 * time.Second
 	onceAnswerBytes = 256
+	// One in onceKeyShare requests has a key of its caller's in place of an ID.
+	onceKeyShare = 4
 )
 
 // onceFigures are the figures of one run of the at-most-once case.
@@ -161,14 +163,16 @@
 
 func onceTestID(number int) string { return fmt.Sprintf("once-%d", number) }
 
-// request gets an ID and sends the request under it, several times at once or
+// request gets an ID, or takes a key of its own, and sends the request several times at once or
 // one after the other, until five sends are used or the outcome is definite.
 func (e *onceExperiment) request(ctx context.Context, number int, random *rand.Rand) {
 	req := &client.Request{Method: http.MethodPost, Target: fmt.Sprintf("/fares/charge?bytes=%d", onceAnswerBytes), Header: http.Header{}}
 	req.Header.Set(standin.HeaderTestID, onceTestID(number))
 	req.Body = []byte(onceTestID(number))
-	id := e.newID(ctx, req, random)
-	if id == "" {
+	id := ""
+	if number%onceKeyShare == 0 {
+		req.Header.Set("Idempotency-Key", onceTestID(number))
+	} else if id = e.newID(ctx, req, random); id == "" {
 		e.mu.Lock()
 		e.noID++
 		e.mu.Unlock()
--- a/internal/bench/oncefaults.go
+++ b/internal/bench/oncefaults.go
@@ -14,12 +14,16 @@
 	restartDelay = 300 * time.Millisecond
 	outageLength = 2 * time.Second
 	silentShare  = 3
+	// loseAnswers is how often the store takes a write and loses the answer.
+	loseAnswers = 5
 )
 
 // injectFaults kills nodes and upstreams, silences connections and stops the
-// store, one fault after the other, until the context ends. It returns the
+// store, one fault after the other, until the context ends. All the while the
+// store loses some answers. It returns the
 // number of faults; everything runs again when it returns.
 func (e *onceExperiment) injectFaults(ctx context.Context) int {
+	_ = e.fleet.SetStoreFaults(ctx, standin.Faults{LoseAnswers: loseAnswers})
 	faults := []func(context.Context){e.killUpstream, e.silence, e.killNode, e.stopStore}
 	count := 0
 	for {
@@ -68,5 +72,5 @@
 	ctx = context.WithoutCancel(ctx)
 	_ = e.fleet.SetStoreFaults(ctx, standin.Faults{Outage: true})
 	time.Sleep(outageLength)
-	_ = e.fleet.SetStoreFaults(ctx, standin.Faults{})
+	_ = e.fleet.SetStoreFaults(ctx, standin.Faults{LoseAnswers: loseAnswers})
 }
--- /dev/null
+++ b/plugin/claims/claims_test.go
@@ -0,0 +1,111 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/jsonc"
+	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/store/etcd"
+)
+
+func newTestModules(t *testing.T, count int) (*standin.Store, []*Module) {
+	t.Helper()
+	backend := standin.NewStore()
+	server := httptest.NewServer(backend)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		server.Close()
+	})
+	modules := make([]*Module, count)
+	for i := range modules {
+		m := &Module{
+			Retention: jsonc.Duration(time.Hour), clock: clockwork.NewRealClock(), log: log.Log,
+			store: etcd.New(etcd.Options{Endpoints: []string{server.URL}}), prefix: "/claims/",
+			ring:    kernel.NewRing[*claim](100, kernel.Refuse, nil),
+			writes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "writes"}),
+			claimed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "claims"}, []string{"result"}),
+		}
+		group.Go(func() { _ = m.run(ctx) })
+		modules[i] = m
+	}
+	return backend, modules
+}
+
+func TestOneClaimOfAKeyWins(t *testing.T) {
+	for _, lose := range []int{0, 2} {
+		backend, modules := newTestModules(t, 3)
+		backend.SetFaults(standin.Faults{LoseAnswers: lose, DelayMillis: 2})
+		var mu sync.Mutex
+		winners, held := map[string]int{}, map[string]string{}
+		var group sync.WaitGroup
+		for i := range 120 {
+			key, id := fmt.Sprint("key-", i%20), fmt.Sprint("id-", i)
+			group.Go(func() {
+				record, err := modules[i%len(modules)].Claim(t.Context(), "org", key, id)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if held[key] == "" {
+					held[key] = record.ID
+				}
+				assert.Check(t, held[key] == record.ID, "%s names %s and %s", key, held[key], record.ID)
+				if record.Won {
+					winners[key]++
+				}
+			})
+		}
+		group.Wait()
+		for key, count := range winners {
+			assert.Check(t, count == 1, "%s has %d winners", key, count)
+		}
+		assert.Assert(t, len(held) > 0)
+		writes := 0.0
+		for _, m := range modules {
+			writes += testutil.ToFloat64(m.writes)
+		}
+		assert.Assert(t, writes < 120, "%g writes for 120 claims", writes)
+	}
+}
+
+func TestClaimFailsWhileTheStoreIsOut(t *testing.T) {
+	backend, modules := newTestModules(t, 1)
+	backend.SetFaults(standin.Faults{Outage: true})
+	_, err := modules[0].Claim(t.Context(), "org", "key", "id-1")
+	assert.Assert(t, err != nil)
+	backend.SetFaults(standin.Faults{})
+	record, err := modules[0].Claim(t.Context(), "org", "key", "id-2")
+	assert.NilError(t, err)
+	assert.Assert(t, record.Won)
+}
+
+func TestOneReplacementOfAClosedIDWins(t *testing.T) {
+	_, modules := newTestModules(t, 2)
+	old, err := modules[0].Claim(t.Context(), "org", "key", "old")
+	assert.NilError(t, err)
+	first, err := modules[0].Replace(t.Context(), "org", "key", old, "first")
+	assert.NilError(t, err)
+	assert.Assert(t, first.Won)
+	second, err := modules[1].Replace(t.Context(), "org", "key", old, "second")
+	assert.NilError(t, err)
+	assert.Equal(t, second.ID, "first")
+	other, err := modules[1].Claim(t.Context(), "another", "key", "third")
+	assert.NilError(t, err)
+	assert.Assert(t, other.Won, "keys are scoped by organisation")
+}
--- /dev/null
+++ b/plugin/ingress/claim.go
@@ -0,0 +1,102 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/ledger"
+	"github.com/mangomast/mangomast/plugin/claims"
+)
+
+const (
+	// maxKeyBytes bounds a caller's idempotency key.
+	maxKeyBytes = 255
+	// maxReplacements bounds the IDs that one send goes through, each closed
+	// by the node that it names.
+	maxReplacements = 2
+)
+
+// mayBeResent reports whether the caller may have sent the request before.
+func mayBeResent(r *http.Request) bool {
+	return r.Header.Get(call.HeaderRequestID) != "" || r.Header.Get(headerIdempotencyKey) != ""
+}
+
+// dispatchClaimed dispatches a request. One that is not idempotent and has an
+// idempotency key runs under the ID that the key's record in the store names.
+func (m *Module) dispatchClaimed(r *http.Request, req *request, body []byte) (*call.Reply, io.ReadCloser) {
+	key := r.Header.Get(headerIdempotencyKey)
+	if req.head.Idempotent || key == "" || !req.head.Pin.IsZero() {
+		return m.dispatchCounted(r, req, body)
+	}
+	if len(key) > maxKeyBytes {
+		return call.Refuse(call.CodeBadRequest, "the idempotency key is too long"), nil
+	}
+	record, refusal := m.claim(r, req, key)
+	for replaced := 0; refusal == nil; replaced++ {
+		if refusal = m.assume(req, record); refusal != nil {
+			break
+		}
+		reply, answer := m.dispatchCounted(r, req, body)
+		closed := reply.Outcome == call.Refused && reply.Settled && reply.Code != call.CodeConflict
+		if !closed {
+			return reply, answer
+		}
+		if replaced == maxReplacements || r.Context().Err() != nil {
+			return stillOpen(reply), nil
+		}
+		record, refusal = m.replace(r, req, key, record, reply)
+	}
+	return refusal, nil
+}
+
+// claim ties the key to a new ID, or finds the ID that it is tied to.
+func (m *Module) claim(r *http.Request, req *request, key string) (claims.Record, *call.Reply) {
+	if refusal := m.dispatcher.Pin(req.head); refusal != nil {
+		return claims.Record{}, refusal
+	}
+	record, err := m.claims.Claim(r.Context(), req.head.Organisation, key, req.head.ID)
+	if err != nil {
+		m.log.WithError(err).Debug("idempotency key was not claimed")
+		return record, storeUnavailable()
+	}
+	return record, nil
+}
+
+// replace ties the key to a new ID after the old one was closed. It returns
+// the reply that closed it if there is no VM for another.
+func (m *Module) replace(r *http.Request, req *request, key string, old claims.Record, reply *call.Reply) (claims.Record, *call.Reply) {
+	if m.dispatcher.Pin(req.head) != nil {
+		return old, stillOpen(reply)
+	}
+	record, err := m.claims.Replace(r.Context(), req.head.Organisation, key, old, req.head.ID)
+	if err != nil {
+		return record, storeUnavailable()
+	}
+	return record, nil
+}
+
+// stillOpen returns a copy of a refusal that closed an ID but not its key:
+// another send of the key may run under a new ID.
+func stillOpen(reply *call.Reply) *call.Reply {
+	open := *reply
+	open.Settled = false
+	return &open
+}
+
+func storeUnavailable() *call.Reply {
+	return call.Refuse(call.CodeStoreUnavailable, "the idempotency key cannot be looked up for now")
+}
+
+// assume takes over the ID that a record names.
+func (m *Module) assume(req *request, record claims.Record) *call.Reply {
+	scope := ledger.Scope{Organisation: req.head.Organisation, Route: req.route.ID}
+	id, err := m.signer.Verify(scope, record.ID)
+	if err != nil {
+		refusal := call.Refuse(call.CodeConflict, "the idempotency key was used on another route")
+		refusal.Settled = true
+		return refusal
+	}
+	req.head.ID, req.head.Root, req.head.Pin = record.ID, record.ID, id.Pin()
+	return nil
+}
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/ledger"
+	"github.com/mangomast/mangomast/plugin/claims"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	"github.com/mangomast/mangomast/plugin/dispatch"
 	"github.com/mangomast/mangomast/plugin/quota"
@@ -33,7 +34,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{configplugin.ID, dispatch.ID, quota.ID, retryplugin.ID},
+		Needs: []kernel.ID{configplugin.ID, dispatch.ID, claims.ID, quota.ID, retryplugin.ID},
 		New: func() kernel.Module {
 			return &Module{Shedding: true, LeaveGrace: jsonc.Duration(defaultLeaveGrace)}
 		},
@@ -54,6 +55,7 @@
 	config     config.Source
 	freshness  config.Freshness
 	dispatcher dispatch.Dispatcher
+	claims     *claims.Module
 	quota      quota.Gate
 	retries    *retryplugin.Module
 	metrics    *metrics
@@ -85,6 +87,9 @@
 	if m.quota, err = kernel.Require[quota.Gate](ctx); err != nil {
 		return err
 	}
+	if m.claims, err = kernel.Require[*claims.Module](ctx); err != nil {
+		return err
+	}
 	if m.retries, err = kernel.Require[*retryplugin.Module](ctx); err != nil {
 		return err
 	}
@@ -117,7 +122,8 @@
 	route    *config.Route
 	key      *config.Key
 	head     *call.Head
-	// resent requests came with a request ID, so they may have run before.
+	// resent requests came with a request ID or an idempotency key, so they
+	// may have run before.
 	resent bool
 }
 
@@ -139,7 +145,7 @@
 		m.shed,
 		m.spend,
 	}
-	req.resent = r.Header.Get(call.HeaderRequestID) != ""
+	req.resent = mayBeResent(r)
 	for _, check := range checks {
 		if refusal := check(r, req); refusal != nil {
 			return writeReply(c, req, refusal, nil)
@@ -150,10 +156,10 @@
 		return writeReply(c, req, refusal, nil)
 	}
 	if refusal := m.checkAgain(req); refusal != nil {
-		return refusal, httpcall.WriteReply(c, req.head.ID, refusal, nil, 0)
+		return writeReply(c, req, refusal, nil)
 	}
 	fillHead(r, req)
-	reply, answer := m.dispatchCounted(r, req, body)
+	reply, answer := m.dispatchClaimed(r, req, body)
 	m.learn(req, reply)
 	return writeReply(c, req, reply, answer)
 }
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -4,6 +4,7 @@
 import (
 	// The modules register themselves.
 	_ "github.com/mangomast/mangomast/plugin/admin"
+	_ "github.com/mangomast/mangomast/plugin/claims"
 	_ "github.com/mangomast/mangomast/plugin/config"
 	_ "github.com/mangomast/mangomast/plugin/console"
 	_ "github.com/mangomast/mangomast/plugin/dispatch"
