Bound how long a suspect holds other requests back

Cause: a suspect waits until nothing else runs on its upstream, and new requests wait behind it; beside a long download that lasts as long as the download. What a run shows of its request was decided in the module.

Change: after 1 s a suspect is refused as overloaded, and may go to another VM. quarantine.Judge decides what a run shows, with a test of the fault that cleared suspects which were never run.

--- a/plugin/inbound/isolate.go
+++ b/plugin/inbound/isolate.go
@@ -20,6 +20,9 @@
 	alone    int64 = 1 << 30
 
 	crashProbeTimeout = 300 * time.Millisecond
+	// aloneTimeout bounds how long a suspect holds new requests back while it
+	// waits for those that run.
+	aloneTimeout = 1 * time.Second
 )
 
 // newIsolation returns the shares of the upstream. Waiting requests get
@@ -35,17 +38,12 @@
 		return refusal, nil
 	}
 	finish := func(broken, answered bool) {
-		switch {
-		case broken && upstreamCrashed(s.upstream.Address):
-			m.quarantine.Crashed(head, fingerprint, share == alone)
-		case answered && share == alone:
-			m.quarantine.Survived(head, fingerprint)
-		}
+		crashed := broken && upstreamCrashed(s.upstream.Address)
+		m.quarantine.Record(head, fingerprint, quarantine.Judge(share == alone, crashed, answered))
 		m.isolation.Release(share)
 	}
 	reply, answer := m.forward(ctx, s, head, body, token)
 	if answer == nil {
-		// A suspect that was not run, or not to its end, stays a suspect.
 		finish(reply.Outcome == call.Unknown && reply.Code == call.CodeUpstreamFailed, false)
 		return reply, nil
 	}
@@ -64,8 +62,8 @@
 		case quarantine.RunAlone:
 			share = alone
 		}
-		if err := m.isolation.Acquire(ctx, share); err != nil {
-			return 0, call.Refuse(call.CodeDeadline, "the deadline passed before the request could run")
+		if refusal := m.acquireShare(ctx, share); refusal != nil {
+			return 0, refusal
 		}
 		if m.quarantine.Verdict(fingerprint) == verdict {
 			return share, nil
@@ -74,6 +72,21 @@
 	}
 }
 
+func (m *Module) acquireShare(ctx context.Context, share int64) *call.Reply {
+	waitCtx, cancel := ctx, context.CancelFunc(func() {})
+	if share == alone {
+		waitCtx, cancel = context.WithTimeout(ctx, aloneTimeout)
+	}
+	defer cancel()
+	if m.isolation.Acquire(waitCtx, share) == nil {
+		return nil
+	}
+	if ctx.Err() == nil {
+		return call.Refuse(call.CodeOverloaded, "the request must run alone and others run for long")
+	}
+	return call.Refuse(call.CodeDeadline, "the deadline passed before the request could run")
+}
+
 // upstreamCrashed reports whether nothing listens on the upstream's address.
 func upstreamCrashed(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, crashProbeTimeout)
--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -138,37 +138,38 @@
 	return m.table.Verdict(fingerprint, m.clock.Now())
 }
 
-// Crashed records that the request was running when the local upstream
-// crashed. It blocks until the service's other VMs know, or a short timeout.
-func (m *Module) Crashed(head *call.Head, fingerprint ledger.Fingerprint, alone bool) {
+// Record takes in what a run showed about its request. After a crash it blocks
+// until the service's other VMs know, or a short timeout.
+func (m *Module) Record(head *call.Head, fingerprint ledger.Fingerprint, found quarantine.Finding) {
 	if m.Disabled {
 		return
 	}
-	self := m.mesh.Self()
-	record := quarantine.Record{
-		Fingerprint: fingerprint, Kind: quarantine.Suspect, Organisation: head.Organisation, Route: head.Route,
-	}
-	if alone {
-		record.Kind = quarantine.Quarantined
+	switch found {
+	case quarantine.FoundSuspect:
+		m.crashed(head, fingerprint, quarantine.Suspect)
+	case quarantine.FoundGuilty:
+		m.crashed(head, fingerprint, quarantine.Quarantined)
+	case quarantine.FoundHarmless:
+		m.mu.Lock()
+		m.table.Settle(fingerprint)
+		m.mu.Unlock()
+		go m.spread(head.Service)
 	}
+}
+
+func (m *Module) crashed(head *call.Head, fingerprint ledger.Fingerprint, kind quarantine.Kind) {
+	self := m.mesh.Self()
+	record := quarantine.Record{Fingerprint: fingerprint, Kind: kind, Organisation: head.Organisation, Route: head.Route}
 	m.mu.Lock()
 	m.number++
 	record.ID = quarantine.RecordID{VM: self.VM, Incarnation: self.Incarnation, Number: m.number}
 	m.table.Merge([]quarantine.Record{record}, m.clock.Now())
 	m.mu.Unlock()
-	m.crashes.WithLabelValues(record.Kind.String()).Inc()
-	m.log.WithField("request_id", head.ID).WithField("kind", record.Kind.String()).Warn("local upstream crashed while the request ran")
+	m.crashes.WithLabelValues(kind.String()).Inc()
+	m.log.WithField("request_id", head.ID).WithField("kind", kind.String()).Warn("local upstream crashed while the request ran")
 	m.spread(head.Service)
 }
 
-// Survived records that a suspect ran alone and the upstream did not crash.
-func (m *Module) Survived(head *call.Head, fingerprint ledger.Fingerprint) {
-	m.mu.Lock()
-	m.table.Settle(fingerprint)
-	m.mu.Unlock()
-	go m.spread(head.Service)
-}
-
 // exchangeMessage carries records between two VMs of a service.
 type exchangeMessage struct {
 	Records []quarantine.Record `cbor:"1,keyasint"`
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -80,6 +80,35 @@
 	Refuse
 )
 
+// Finding is what a run showed about its request.
+type Finding uint8
+
+// Findings.
+const (
+	// NothingFound changes nothing: a suspect stays one.
+	NothingFound Finding = iota
+	// FoundSuspect means that the upstream crashed beside other requests.
+	FoundSuspect
+	// FoundGuilty means that the upstream crashed while only this one ran.
+	FoundGuilty
+	// FoundHarmless means that the request ran alone to its end.
+	FoundHarmless
+)
+
+// Judge returns what a run showed. Only an answer to the end clears a
+// suspect: one that was refused, cancelled or cut off proves nothing.
+func Judge(alone, crashed, answered bool) Finding {
+	switch {
+	case crashed && alone:
+		return FoundGuilty
+	case crashed:
+		return FoundSuspect
+	case alone && answered:
+		return FoundHarmless
+	}
+	return NothingFound
+}
+
 type held struct {
 	record Record
 	seen   time.Time
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -67,3 +67,12 @@
 	table.Merge(nil, start.Add(time.Hour))
 	assert.Equal(t, table.Len(), 0)
 }
+
+func TestOnlyAnAnswerClearsASuspect(t *testing.T) {
+	const alone, crashed, answered = true, true, true
+	assert.Equal(t, Judge(alone, !crashed, answered), FoundHarmless)
+	assert.Equal(t, Judge(alone, !crashed, !answered), NothingFound)
+	assert.Equal(t, Judge(!alone, !crashed, answered), NothingFound)
+	assert.Equal(t, Judge(!alone, crashed, !answered), FoundSuspect)
+	assert.Equal(t, Judge(alone, crashed, !answered), FoundGuilty)
+}
