Repeat an upstream's call under the ID it was sent with

Cause: an upstream that repeated a call that is not idempotent, because the answer was unknown or did not reach it, got a new ID for it, so the call ran again. A send to the pin that failed before it left, after one that may have arrived, was told as "refused".

Change: the running request remembers the IDs of calls that are not settled, by their contents; the egress gives a repeated one its old ID. A refusal that is not the pin's own is "unknown" once the pin may have seen the request.

Conclusion: the promise now covers calls below the caller's request.

--- /dev/null
+++ b/call/repeat.go
@@ -0,0 +1,43 @@
+package call
+
+import "sync"
+
+// RepeatKey names the contents of a call that an upstream makes.
+type RepeatKey uint64
+
+// Sent is the ID under which a call was sent to its pin.
+type Sent struct {
+	ID  string
+	Pin Pin
+}
+
+// Unsettled holds the calls of one running request that are not idempotent
+// and whose answers did not reach the upstream. If the upstream repeats such a
+// call, it goes out under the same ID. It is safe for concurrent use.
+type Unsettled struct {
+	mu   sync.Mutex
+	sent map[RepeatKey]Sent
+}
+
+// Lookup returns the ID under which the call must be repeated.
+func (u *Unsettled) Lookup(key RepeatKey) (Sent, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	sent, ok := u.sent[key]
+	return sent, ok
+}
+
+// Note records how a send ended. A call that was refused, or whose answer was
+// delivered, may be made anew.
+func (u *Unsettled) Note(key RepeatKey, sent Sent, settled bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if settled || sent.Pin.IsZero() {
+		delete(u.sent, key)
+		return
+	}
+	if u.sent == nil {
+		u.sent = map[RepeatKey]Sent{}
+	}
+	u.sent[key] = sent
+}
--- a/call/running.go
+++ b/call/running.go
@@ -19,6 +19,8 @@
 	Context context.Context
 	// Deadline is the local time by which the answer must be complete.
 	Deadline time.Time
+	// Unsettled holds the request's calls that must keep their ID.
+	Unsettled Unsettled
 
 	// Sends tells the request's repeated calls from first ones.
 	Sends retry.Sends
--- a/internal/bench/atmostonce.go
+++ b/internal/bench/atmostonce.go
@@ -51,10 +51,14 @@
 	DefiniteShare  float64 `json:"definite_share"`
 	Linearizable   bool    `json:"linearizable"`
 	Faults         int     `json:"faults"`
+	// Calls counts requests whose upstream called another service, and sent
+	// the call again if it failed; CallsTwice those whose call ran twice.
+	Calls      int `json:"calls"`
+	CallsTwice int `json:"calls_twice"`
 }
 
 func (f *onceFigures) holds() bool {
-	return f.RunTwice == 0 && f.RefusedRan == 0 && f.AnsweredNotRun == 0 && f.WrongAnswers == 0 && f.Linearizable
+	return f.RunTwice == 0 && f.RefusedRan == 0 && f.AnsweredNotRun == 0 && f.WrongAnswers == 0 && f.Linearizable && f.CallsTwice == 0
 }
 
 func (f *onceFigures) cells(name string) []string {
@@ -62,6 +66,7 @@
 		name, fmt.Sprint(f.Requests), fmt.Sprint(f.Sends), fmt.Sprint(f.Faults), fmt.Sprint(f.RunTwice),
 		fmt.Sprint(f.RefusedRan), fmt.Sprint(f.AnsweredNotRun), fmt.Sprint(f.WrongAnswers), fmt.Sprint(f.Linearizable),
 		fmt.Sprintf("%.2f %%", 100*f.DefiniteShare), fmt.Sprint(f.Answered), fmt.Sprint(f.Refused), fmt.Sprint(f.Unknown), fmt.Sprint(f.NoID),
+		fmt.Sprint(f.Calls), fmt.Sprint(f.CallsTwice),
 	}
 }
 
@@ -78,13 +83,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if on.CallsTwice, on.Calls, err = callsRun(ctx, env); err != nil {
+		return nil, err
+	}
 	return &Report{
 		// The run without the ledger shows that the case would find a fault.
 		Holds:   on.holds() && off.RunTwice > 0,
 		Figures: on,
 		Header: []string{
 			"ledger", "requests", "sends", "faults", "run twice", "refused but ran", "answered, not run", "wrong",
-			"linearizable", "definite", "answered", "refused", "unknown", "no id",
+			"linearizable", "definite", "answered", "refused", "unknown", "no id", "upstreams' calls", "twice",
 		},
 		Rows: [][]string{off.cells("off"), on.cells("on")},
 	}, nil
@@ -152,7 +160,7 @@
 	group.Wait()
 	stop()
 	injected := <-faults
-	runs, err := e.fleet.Runs()
+	runs, err := e.fleet.Runs("fares")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rig/journal.go
+++ b/internal/rig/journal.go
@@ -12,11 +12,14 @@
 	return filepath.Join(r.dir, node.Spec.VM+"-runs.journal")
 }
 
-// Runs counts the runs of each test ID at all upstreams, also at those that
-// were killed since.
-func (r *Rig) Runs() (map[string]int, error) {
+// Runs counts the runs of each test ID at all upstreams of a service, also at
+// those that were killed since.
+func (r *Rig) Runs(service string) (map[string]int, error) {
 	runs := map[string]int{}
 	for _, node := range r.Nodes {
+		if node.Spec.Service != service {
+			continue
+		}
 		data, err := os.ReadFile(r.journalFile(node))
 		if os.IsNotExist(err) {
 			continue
--- a/plugin/dispatch/pinned.go
+++ b/plugin/dispatch/pinned.go
@@ -80,9 +80,21 @@
 	}
 }
 
-// settle sends the request to its pin until there is an answer from it, or
-// the pin is lost. Sending again is safe: the pin's ledger runs an ID once.
+// settle sends the request to its pin and tells a refusal that is not the
+// pin's from an unknown outcome.
 func (d *pinnedDispatch) settle(ctx context.Context) (*call.Reply, io.ReadCloser) {
+	reply, answer := d.askUntilSettled(ctx)
+	if d.mayHaveRun && reply.Outcome == call.Refused && !reply.Settled {
+		unsure := *reply
+		unsure.Outcome = call.Unknown
+		return &unsure, answer
+	}
+	return reply, answer
+}
+
+// askUntilSettled sends the request to its pin until there is an answer from it, or
+// the pin is lost. Sending again is safe: the pin's ledger runs an ID once.
+func (d *pinnedDispatch) askUntilSettled(ctx context.Context) (*call.Reply, io.ReadCloser) {
 	var lostAt time.Time
 	for {
 		d.head.Timeout = d.deadline.Sub(d.clock.Now())
--- a/plugin/egress/resend.go
+++ b/plugin/egress/resend.go
@@ -39,9 +39,14 @@
 			return httpcall.WriteReply(c, head.ID, m.retries.Refuse(), nil, 0)
 		}
 	}
+	keepID(parent, head, signature)
 	reply, answer := m.dispatch(ctx, parent, head, body)
+	// An answer that breaks off while it is written leaves the call unsettled.
+	noteID(parent, head, signature, reply, false)
 	err = httpcall.WriteReply(c, head.ID, reply, answer, route.MaxAnswerBytes)
-	delivered = err == nil && c.Request().Context().Err() == nil && succeeded(reply)
+	reached := err == nil && c.Request().Context().Err() == nil
+	noteID(parent, head, signature, reply, reached)
+	delivered = reached && succeeded(reply)
 	return err
 }
 
