Learn a pinned VM's address before calling it unknown

Cause: since nodes know only the VMs of services that they send to, a node that had not sent to the service told a request with an ID "the VM is not a member", though its VM was there.

Change: the dispatcher asks for the service's VMs first. The quarantine module asks for none while its VM has no upstream.

--- a/plugin/dispatch/pinned.go
+++ b/plugin/dispatch/pinned.go
@@ -125,7 +125,7 @@
 
 // ask sends the request to its pin once.
 func (d *pinnedDispatch) ask(ctx context.Context) (*call.Reply, io.ReadCloser) {
-	entry, known := d.members.View().Get(d.head.Pin.VM)
+	entry, known := d.pinned()
 	switch {
 	case known && entry.Incarnation > d.head.Pin.Incarnation:
 		reply := call.Unsure(call.CodePinLost, "the node that may have run the request was replaced; it will not be run again")
@@ -141,6 +141,16 @@
 	return reply, answer
 }
 
+// pinned returns the entry of the pinned VM. A node that has not sent to the
+// service yet learns its VMs first.
+func (d *pinnedDispatch) pinned() (membership.Entry, bool) {
+	if entry, known := d.members.View().Get(d.head.Pin.VM); known {
+		return entry, true
+	}
+	d.members.View().Service(d.head.Service)
+	return d.members.View().Get(d.head.Pin.VM)
+}
+
 // unsettled is the reply of a request whose pin gave none.
 func (d *pinnedDispatch) unsettled(code call.Code, message string) *call.Reply {
 	if d.mayHaveRun {
--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -239,7 +239,11 @@
 			return ctx.Err()
 		case <-ticker.Chan():
 		}
-		others := m.others(m.members.Self().Service)
+		service := m.members.Self().Service
+		if service == "" {
+			continue
+		}
+		others := m.others(service)
 		if len(others) == 0 {
 			continue
 		}
