--- a/plugin/inbound/ledger.go
+++ b/plugin/inbound/ledger.go
@@ -16,12 +16,17 @@
 )
 
 const (
-	defaultValidity       = 10 * time.Minute
-	defaultLedgerEntries  = 50_000
-	defaultKeptBytes      = 32 << 20
-	defaultKeptEachBytes  = 1 << 20
-	labelRun, labelReplay = "run", "replay"
-	labelJoin             = "join"
+	defaultValidity      = 10 * time.Minute
+	defaultLedgerEntries = 50_000
+	defaultKeptBytes     = 32 << 20
+	defaultKeptEachBytes = 1 << 20
+)
+
+// Values of the label of mangomast_ledger_requests_total.
+const (
+	labelRun    = "run"
+	labelReplay = "replay"
+	labelJoin   = "join"
 )
 
 // LedgerSettings bound the ledger of requests that run at most once.
@@ -89,6 +94,7 @@
 	return m.once.serve(ctx, head, body)
 }
 
+// serve runs a pinned request, or joins or repeats an earlier run.
 func (o *once) serve(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
 	id, err := ledger.ParseID(head.ID)
 	if err != nil {
@@ -96,36 +102,43 @@
 	}
 	if head.Pin.VM != o.self.VM || head.Pin.Incarnation != o.self.Incarnation {
 		reply := call.Unsure(call.CodePinLost, "the node that may have run the request was replaced; it will not be run again")
-		reply.Settled = true
-		return reply, nil
-	}
-	fingerprint := ledger.FingerprintOf(head, body)
-	o.mu.Lock()
-	decision := o.ledger.Begin(head.ID, id.Minted(), fingerprint, o.module.clock.Now())
-	var f *flight
-	switch decision.Action {
-	case ledger.Run:
-		f = newFlight()
-		o.flights[head.ID] = f
-	case ledger.Join:
-		f = o.flights[head.ID]
-		f.join()
+		return settled(reply), nil
 	}
-	o.mu.Unlock()
+	decision, f := o.begin(id, head, body)
 	switch decision.Action {
 	case ledger.Replay:
 		o.requests.WithLabelValues(labelReplay).Inc()
 		return giveAgain(decision.Answer)
+	case ledger.Join:
+		o.requests.WithLabelValues(labelJoin).Inc()
 	case ledger.Run:
 		o.requests.WithLabelValues(labelRun).Inc()
 		// The run outlives the asker, who may ask again with the ID.
 		go o.run(context.WithoutCancel(ctx), f, head, body)
-	default:
-		o.requests.WithLabelValues(labelJoin).Inc()
 	}
 	return f.wait(ctx)
 }
 
+// begin asks the ledger and returns the flight that the request starts or
+// joins; nil if there is an answer already.
+func (o *once) begin(id ledger.ID, head *call.Head, body []byte) (ledger.Decision, *flight) {
+	fingerprint := ledger.FingerprintOf(head, body)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	decision := o.ledger.Begin(head.ID, id.Minted(), fingerprint, o.module.clock.Now())
+	switch decision.Action {
+	case ledger.Run:
+		f := newFlight()
+		o.flights[head.ID] = f
+		return decision, f
+	case ledger.Join:
+		f := o.flights[head.ID]
+		f.join()
+		return decision, f
+	}
+	return decision, nil
+}
+
 // run runs the request and records its answer.
 func (o *once) run(ctx context.Context, f *flight, head *call.Head, body []byte) {
 	reply, answer := o.module.admit(ctx, head, body)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -183,14 +183,14 @@
 }
 
 func (t *Table) settle(fingerprint ledger.Fingerprint, kind Kind) bool {
-	any := false
+	settled := false
 	for _, h := range t.byFingerprint[fingerprint] {
 		if h.record.Kind == kind && !h.record.Settled {
 			h.record.Settled = true
-			any = true
+			settled = true
 		}
 	}
-	return any
+	return settled
 }
 
 // Records returns all records with their age, the newest first.
