--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -142,6 +142,7 @@
 	m.reports = map[string]domainReport{}
 	m.asking = map[string]bool{}
 	m.failures = map[string]int{}
+	m.registerMetrics(ctx.Registry)
 	m.mesh.Handle(mesh.KindRevision, mesh.Typed(m.serveQuestion))
 	m.mesh.Handle(mesh.KindProgress, mesh.Typed(m.serveProgress))
 	kernel.Provide[config.Progress](ctx, m)
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -161,6 +161,7 @@
 	m.table.Hear(m.self, m.clock.Now())
 	m.publish()
 	m.mu.Unlock()
+	m.registerMetrics(ctx.Registry)
 	fabric.Handle(mesh.KindMembers, mesh.Typed(m.serveReport))
 	fabric.Handle(mesh.KindProbe, mesh.Typed(m.serveProbe))
 	fabric.Handle(mesh.KindDirectory, mesh.Typed(m.serveDirectory))
