--- a/cmd/mangomast-bench/main.go
+++ b/cmd/mangomast-bench/main.go
@@ -78,6 +78,7 @@
 func main() {
 	parser := flags.NewNamedParser("mangomast-bench", flags.Default)
 	add(parser, "list", "list the cases", &listCommand{})
+	add(parser, "capacity", "work out the tables of docs/CAPACITY.md from measured figures", &capacityCommand{})
 	add(parser, "standin-store", "run a stand-in for the platform's store", &storeCommand{})
 	add(parser, "standin-upstream", "run a stand-in for an upstream", &upstreamCommand{})
 	for _, c := range bench.Cases() {
