Tell ingresses sooner and more exactly what a slowed service accepts

Cause, by wasted time for each second and service and by the refusals of top requests: (1) 3.2 of 10.4 s wasted in the surge's first second, before the mean service time and the averaged demand had risen; (2) 0.8 s wasted in each later second, because the level of a VM that an ingress had not heard for long faded to "all accepted" and still counted as much as the fresh ones; (3) the queue aimed at consisted of requests waiting to be dropped.

Change: the service time counts requests that already run longer than the mean; demands that rise count sooner while requests are dropped; levels are worked out every 60 ms; older levels weigh less in the mean over VMs; the queue has room for what is likely to run within the longest wait.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -57,7 +57,9 @@
 	opts    Options
 	limit   *Limit
 	queue   queue
-	running int
+	running map[*Request]bool
+	// dropped counts the requests that were refused for want of room or time.
+	dropped int
 	// service is the time that requests run.
 	service estimate
 	// idle is when the queue was last found empty by an arrival.
@@ -67,7 +69,10 @@
 
 // NewController returns a controller for an upstream that has just started.
 func NewController(opts Options, now time.Time) *Controller {
-	return &Controller{opts: opts, limit: NewLimit(opts.Slots, opts.Limit, now), queue: newQueue(), idle: now}
+	return &Controller{
+		opts: opts, limit: NewLimit(opts.Slots, opts.Limit, now), queue: newQueue(),
+		running: map[*Request]bool{}, idle: now,
+	}
 }
 
 // overloadAfter is how long the queue must have been in use before requests
@@ -85,7 +90,8 @@
 	}
 	c.queue.push(r)
 	actions := c.fill(nil, now)
-	if c.queue.len() > c.opts.Queue {
+	if c.queue.len() > c.room() {
+		c.dropped++
 		actions = append(actions, Action{Request: c.queue.evict(), Code: call.CodeOverloaded})
 	}
 	return actions
@@ -107,7 +113,7 @@
 
 // Finish takes in the end of a request that ran.
 func (c *Controller) Finish(done Completion, now time.Time) []Action {
-	c.running--
+	delete(c.running, done.Request)
 	latency := now.Sub(done.Request.started)
 	if done.Answered {
 		c.service.add(latency)
@@ -121,6 +127,7 @@
 func (c *Controller) Tick(now time.Time) []Action {
 	var actions []Action
 	for _, r := range c.queue.expired(now, now.Add(-c.maxWait())) {
+		c.dropped++
 		actions = append(actions, Action{Request: r, Code: call.CodeOverloaded})
 	}
 	c.limit.Tick(now)
@@ -128,36 +135,66 @@
 	return c.fill(actions, now)
 }
 
+// room returns how many requests may wait: as many as are likely to run within
+// the longest wait.
+func (c *Controller) room() int {
+	if c.service.mean == 0 {
+		return c.opts.Queue
+	}
+	limit := c.limit.Value()
+	served := int64(limit) * int64(c.maxWait()) / int64(c.service.mean)
+	return min(c.opts.Queue, max(limit, int(served)))
+}
+
 func (c *Controller) maxWait() time.Duration { return max(c.opts.MaxWait, c.service.mean) }
 
 // fill starts requests while the limit allows it.
 func (c *Controller) fill(actions []Action, now time.Time) []Action {
 	overloaded := now.Sub(c.idle) > overloadAfter
-	for c.running < c.limit.Value() && c.queue.len() > 0 {
+	for len(c.running) < c.limit.Value() && c.queue.len() > 0 {
 		r := c.queue.pop(overloaded)
 		if now.Add(c.service.likely()).After(r.Deadline) {
 			actions = append(actions, Action{Request: r, Code: call.CodeDeadline})
 			continue
 		}
-		c.running++
+		c.running[r] = true
 		r.started = now
 		c.queue.started(r)
 		actions = append(actions, Action{Request: r, Run: true})
 	}
-	c.limit.Running(c.running, c.queue.len() > 0)
+	c.limit.Running(len(c.running), c.queue.len() > 0)
 	return actions
 }
 
-// State is a controller's state for metrics and for routing.
+// State is a controller's state for metrics, routing and shedding.
 type State struct {
 	Running, Queued, Limit int
 	// Service is the mean time that requests run; 0 if none has run yet.
 	Service time.Duration
+	// Dropped counts the requests that were refused for want of room or time.
+	Dropped int
 }
 
 // State returns the state.
-func (c *Controller) State() State {
-	return State{Running: c.running, Queued: c.queue.len(), Limit: c.limit.Value(), Service: c.service.mean}
+func (c *Controller) State(now time.Time) State {
+	return State{
+		Running: len(c.running), Queued: c.queue.len(), Limit: c.limit.Value(),
+		Service: c.serviceTime(now), Dropped: c.dropped,
+	}
+}
+
+// serviceTime returns the mean time that requests run. Those that run for
+// longer than the mean already count with that time, so that an upstream that
+// becomes slow is noticed before any request ends.
+func (c *Controller) serviceTime(now time.Time) time.Duration {
+	if len(c.running) == 0 || c.service.mean == 0 {
+		return c.service.mean
+	}
+	var total time.Duration
+	for r := range c.running {
+		total += max(c.service.mean, now.Sub(r.started))
+	}
+	return total / time.Duration(len(c.running))
 }
 
 // estimate is an average with the mean deviation from it.
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -104,7 +104,7 @@
 }
 
 func (w *world) check(before State) {
-	state := w.controller.State()
+	state := w.controller.State(w.now)
 	if state.Limit < 1 || state.Limit > w.slots {
 		w.t.Fatalf("limit %d is outside 1 to %d", state.Limit, w.slots)
 	}
@@ -120,7 +120,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			before := w.controller.State()
+			before := w.controller.State(w.now)
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
 				w.arrive()
--- a/internal/bench/overload.go
+++ b/internal/bench/overload.go
@@ -11,13 +11,13 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/internal/load"
 	"github.com/mangomast/mangomast/internal/rig"
 	"github.com/mangomast/mangomast/internal/standin"
-	"github.com/mangomast/mangomast/jsonc"
 )
 
 func init() {
@@ -176,6 +176,8 @@
 	ok        bool
 	top       bool
 	attempts  []string
+	// failures are why attempts failed.
+	failures []string
 }
 
 func measureOverload(ctx context.Context, env *Env, mode overloadMode) (overloadRow, error) {
@@ -191,88 +193,40 @@
 	if err := run.setSpeed(ctx, 1); err != nil {
 		return overloadRow{}, err
 	}
+	if err := run.settle(ctx); err != nil {
+		return overloadRow{}, err
+	}
 	if err := run.drive(ctx); err != nil {
 		return overloadRow{}, err
 	}
 	env.Logf("%s: goodput each second %v", mode.name, run.perSecond())
-	return run.row(ctx)
+	env.Logf("%s: failed attempts before the surge %v, in it %v, after it %v", mode.name,
+		run.failures(0, overloadWarm), run.failures(overloadWarm, overloadWarm+overloadSurge),
+		run.failures(overloadWarm+overloadSurge, overloadWarm+overloadSurge+overloadAfter))
+	return run.row(ctx, env)
 }
 
-func overloadDocument() (*config.Document, []Key) {
-	doc := &config.Document{}
-	keys := NewOrganisations(doc, overloadOrgs, 10_000, 10_000)
-	deadline := func(r *config.Route) { r.Deadline = jsonc.Duration(callerTimeout) }
-	for _, service := range chain {
-		AddService(doc, service, deadline)
-	}
-	first := doc.Routes[0]
-	for _, class := range callerClasses {
-		route := first
-		route.ID, route.Path, route.Importance = class.name, first.Path+class.name+"/", class.importance
-		doc.Routes = append(doc.Routes, route)
-	}
-	return doc, keys
-}
-
-func overloadNodes(mode overloadMode) []rig.NodeSpec {
-	var nodes []rig.NodeSpec
-	for i, service := range chain {
-		slots := chainSlots
-		if i == len(chain)-1 {
-			slots = deepSlots
-		}
-		nodes = append(nodes, Spread(service, chainVMs, slots, standin.Behaviour{})...)
-	}
-	for i := range nodes {
-		nodes[i].Modules = mode.modules
-	}
-	return nodes
-}
-
-// setSpeed sets every upstream's behaviour; the deepest is slower by factor.
-func (run *overloadRun) setSpeed(ctx context.Context, factor int) error {
-	for _, node := range run.fleet.Nodes {
-		behaviour := standin.Behaviour{WorkMicros: int(chainWork.Microseconds()), Jitter: workJitter}
-		if node.Spec.Service == chain[len(chain)-1] {
-			behaviour.WorkMicros = factor * int(deepWork.Microseconds())
-		}
-		if next := run.next(node.Spec.Service); next != "" {
-			behaviour.Next = []string{next}
-		}
-		if run.mode.straight {
-			behaviour.ChildRetries = hopRetries
-			behaviour.ChildTimeoutMicros = int(hopTimeout.Microseconds())
-		}
-		if err := run.fleet.SetBehaviour(ctx, node, behaviour); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// next returns the target that the service calls; empty for the deepest.
-func (run *overloadRun) next(service string) string {
-	for i, name := range chain[:len(chain)-1] {
-		if name != service {
-			continue
-		}
-		if run.mode.straight {
-			return strings.Join(run.targets(chain[i+1], "/work"), " ")
-		}
-		return "/" + chain[i+1] + "/work"
-	}
-	return ""
-}
-
-// targets returns the URLs of the path at each upstream of the service.
-func (run *overloadRun) targets(service, path string) []string {
-	var targets []string
+// settle waits until each organisation is answered at each node, so that the
+// start of the fleet is no part of what is measured.
+func (run *overloadRun) settle(ctx context.Context) error {
+	const tries, pause = 100, 100 * time.Millisecond
+	group, ctx := errgroup.WithContext(ctx)
 	for _, node := range run.fleet.Nodes {
-		if node.Spec.Service == service {
-			targets = append(targets, "http://"+node.UpstreamAddress+path)
+		for _, key := range run.keys {
+			group.Go(func() error {
+				failure := ""
+				for range tries {
+					target := "http://" + node.Callers + "/" + chain[0] + "/" + callerClasses[0].name + "/x"
+					if failure = run.attempt(ctx, target, key, "settle"); failure == "" {
+						return nil
+					}
+					time.Sleep(pause)
+				}
+				return errors.Errorf("%s is not answered at %s: %s", key.Organisation, node.Spec.VM, failure)
+			})
 		}
 	}
-	return targets
+	return group.Wait()
 }
 
 // drive sends the load: the normal rate all the time, the rest in the surge.
@@ -311,7 +265,11 @@
 			}
 			id := fmt.Sprintf("%d-%d-%d", stream, number, attempt)
 			request.attempts = append(request.attempts, id)
-			request.ok = run.attempt(ctx, run.entry(class, random), key, id)
+			failure := run.attempt(ctx, run.entry(class, random), key, id)
+			request.ok = failure == ""
+			if !request.ok {
+				request.failures = append(request.failures, failure)
+			}
 		}
 		request.done = time.Since(run.started)
 		run.mu.Lock()
@@ -341,18 +299,25 @@
 	return "http://" + run.fleet.Nodes[random.IntN(len(run.fleet.Nodes))].Callers + path
 }
 
-func (run *overloadRun) attempt(ctx context.Context, target string, key Key, id string) bool {
+// attempt sends the request once and returns why it failed; empty if it did
+// not.
+func (run *overloadRun) attempt(ctx context.Context, target string, key Key, id string) string {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return false
+		return err.Error()
 	}
 	req.Header.Set("Authorization", "Bearer "+key.Secret)
 	req.Header.Set(standin.HeaderTestID, id)
 	resp, err := run.client.Do(req)
 	if err != nil {
-		return false
+		return "no answer"
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return "broken answer"
+	}
+	if resp.StatusCode != http.StatusOK {
+		return strings.TrimSpace(fmt.Sprintf("%d %s", resp.StatusCode, resp.Header.Get(call.HeaderReason)))
+	}
+	return ""
 }
--- /dev/null
+++ b/internal/bench/overload_fleet.go
@@ -0,0 +1,88 @@
+package bench
+
+import (
+	"context"
+	"strings"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/rig"
+	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/jsonc"
+)
+
+func overloadDocument() (*config.Document, []Key) {
+	doc := &config.Document{}
+	keys := NewOrganisations(doc, overloadOrgs, 10_000, 10_000)
+	deadline := func(r *config.Route) { r.Deadline = jsonc.Duration(callerTimeout) }
+	for _, service := range chain {
+		AddService(doc, service, deadline)
+	}
+	first := doc.Routes[0]
+	for _, class := range callerClasses {
+		route := first
+		route.ID, route.Path, route.Importance = class.name, first.Path+class.name+"/", class.importance
+		doc.Routes = append(doc.Routes, route)
+	}
+	return doc, keys
+}
+
+func overloadNodes(mode overloadMode) []rig.NodeSpec {
+	var nodes []rig.NodeSpec
+	for i, service := range chain {
+		slots := chainSlots
+		if i == len(chain)-1 {
+			slots = deepSlots
+		}
+		nodes = append(nodes, Spread(service, chainVMs, slots, standin.Behaviour{})...)
+	}
+	for i := range nodes {
+		nodes[i].Modules = mode.modules
+	}
+	return nodes
+}
+
+// setSpeed sets every upstream's behaviour; the deepest is slower by factor.
+func (run *overloadRun) setSpeed(ctx context.Context, factor int) error {
+	for _, node := range run.fleet.Nodes {
+		behaviour := standin.Behaviour{WorkMicros: int(chainWork.Microseconds()), Jitter: workJitter}
+		if node.Spec.Service == chain[len(chain)-1] {
+			behaviour.WorkMicros = factor * int(deepWork.Microseconds())
+		}
+		if next := run.next(node.Spec.Service); next != "" {
+			behaviour.Next = []string{next}
+		}
+		if run.mode.straight {
+			behaviour.ChildRetries = hopRetries
+			behaviour.ChildTimeoutMicros = int(hopTimeout.Microseconds())
+		}
+		if err := run.fleet.SetBehaviour(ctx, node, behaviour); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// next returns the target that the service calls; empty for the deepest.
+func (run *overloadRun) next(service string) string {
+	for i, name := range chain[:len(chain)-1] {
+		if name != service {
+			continue
+		}
+		if run.mode.straight {
+			return strings.Join(run.targets(chain[i+1], "/work"), " ")
+		}
+		return "/" + chain[i+1] + "/work"
+	}
+	return ""
+}
+
+// targets returns the URLs of the path at each upstream of the service.
+func (run *overloadRun) targets(service, path string) []string {
+	var targets []string
+	for _, node := range run.fleet.Nodes {
+		if node.Spec.Service == service {
+			targets = append(targets, "http://"+node.UpstreamAddress+path)
+		}
+	}
+	return targets
+}
--- a/internal/bench/overload_result.go
+++ b/internal/bench/overload_result.go
@@ -10,7 +10,7 @@
 const goodputWindow = 1 * time.Second
 
 // row works out the figures of a finished run.
-func (run *overloadRun) row(ctx context.Context) (overloadRow, error) {
+func (run *overloadRun) row(ctx context.Context, env *Env) (overloadRow, error) {
 	surgeEnd := overloadWarm + overloadSurge
 	row := overloadRow{
 		Mode:          run.mode.name,
@@ -44,7 +44,7 @@
 		row.P99Millis = latencies[len(latencies)*99/100].Milliseconds()
 	}
 	var err error
-	row.Wasted, err = run.wasted(ctx, surgeEnd)
+	row.Wasted, err = run.wasted(ctx, env)
 	return row, err
 }
 
@@ -67,6 +67,20 @@
 	return counts
 }
 
+// failures counts the failed attempts of requests sent in [from, to) by reason.
+func (run *overloadRun) failures(from, to time.Duration) map[string]int {
+	counts := map[string]int{}
+	for _, r := range run.requests {
+		if r.due < from || r.due >= to {
+			continue
+		}
+		for _, reason := range r.failures {
+			counts[reason]++
+		}
+	}
+	return counts
+}
+
 // recovery returns the time after the surge from which every window has at
 // least the goodput; the length of the rest of the run if there is none.
 func (run *overloadRun) recovery(surgeEnd time.Duration, least float64) time.Duration {
@@ -82,32 +96,38 @@
 
 // wasted returns the share of upstream time spent on attempts that did not
 // succeed, of requests sent in the surge.
-func (run *overloadRun) wasted(ctx context.Context, surgeEnd time.Duration) (float64, error) {
-	useful, counted := map[string]bool{}, map[string]bool{}
+func (run *overloadRun) wasted(ctx context.Context, env *Env) (float64, error) {
+	useful, second := map[string]bool{}, map[string]int{}
 	for _, r := range run.requests {
-		if r.due < overloadWarm || r.due >= surgeEnd {
+		if r.due < overloadWarm || r.due >= overloadWarm+overloadSurge {
 			continue
 		}
 		for i, id := range r.attempts {
-			counted[id] = true
+			second[id] = int((r.due - overloadWarm) / time.Second)
 			useful[id] = r.ok && i == len(r.attempts)-1
 		}
 	}
 	var all, lost int64
+	lostBySecond := make([]int64, int(overloadSurge/time.Second))
+	lostByService := map[string]int64{}
 	for _, node := range run.fleet.Nodes {
 		report, err := run.fleet.Report(ctx, node)
 		if err != nil {
 			return 0, err
 		}
 		for id, busy := range report.BusyByID {
-			if !counted[id] {
+			at, counted := second[id]
+			if !counted {
 				continue
 			}
 			all += busy
 			if !useful[id] {
 				lost += busy
+				lostBySecond[at] += busy / time.Millisecond.Microseconds()
+				lostByService[node.Spec.Service] += busy / time.Millisecond.Microseconds()
 			}
 		}
 	}
+	env.Logf("%s: wasted ms by second of sending %v, by service %v", run.mode.name, lostBySecond, lostByService)
 	return float64(lost) / float64(max(1, all)), nil
 }
--- a/plugin/inbound/gate.go
+++ b/plugin/inbound/gate.go
@@ -19,7 +19,7 @@
 	// tickInterval is the time between two looks at the queue; a level is
 	// published every ticksPerLevel of them.
 	tickInterval  = 20 * time.Millisecond
-	ticksPerLevel = 5
+	ticksPerLevel = 3
 )
 
 // gate admits requests to the local upstream. It is safe for concurrent use.
@@ -52,8 +52,10 @@
 	return &sheddingGate{
 		module:     m,
 		controller: admission.NewController(opts, m.clock.Now()),
-		publisher:  shedding.NewPublisher(shedding.PublisherOptions{Service: upstream.Service, VM: m.vm}),
-		waiting:    map[*admission.Request]chan admission.Action{},
+		publisher: shedding.NewPublisher(shedding.PublisherOptions{
+			Service: upstream.Service, VM: m.vm, QueueShare: m.QueueShare, Growth: m.Growth,
+		}),
+		waiting: map[*admission.Request]chan admission.Action{},
 	}
 }
 
@@ -147,7 +149,7 @@
 func (g *sheddingGate) Load() call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	state := g.controller.State()
+	state := g.controller.State(g.module.clock.Now())
 	return call.Load{Running: state.Running, Queued: state.Queued, Limit: state.Limit}
 }
 
@@ -164,14 +166,14 @@
 	defer g.mu.Unlock()
 	now := g.module.clock.Now()
 	g.carryOut(g.controller.Tick(now))
-	state := g.controller.State()
-	g.publisher.Observe(state.Running, state.Queued, state.Limit)
+	state := g.controller.State(now)
+	g.publisher.Observe(state)
 	g.ticks++
 	if g.ticks%ticksPerLevel != 0 {
 		return
 	}
 	if !g.updated.IsZero() {
-		g.publisher.Update(now.Sub(g.updated), state.Limit, state.Service)
+		g.publisher.Update(now.Sub(g.updated), state)
 	}
 	g.updated = now
 }
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -27,6 +27,7 @@
 	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
 	quarantineplugin "github.com/mangomast/mangomast/plugin/quarantine"
 	"github.com/mangomast/mangomast/settings"
+	"github.com/mangomast/mangomast/shedding"
 )
 
 // ID is the module's ID.
@@ -39,6 +40,7 @@
 	defaultMaxWait = 100 * time.Millisecond
 	minMaxWait     = 1 * time.Millisecond
 	maxMaxWait     = 10 * time.Second
+	maxGrowth      = 100
 )
 
 func init() {
@@ -48,6 +50,7 @@
 		New: func() kernel.Module {
 			return &Module{
 				Shedding: true, MaxWait: jsonc.Duration(defaultMaxWait),
+				QueueShare: shedding.DefaultQueueShare, Growth: shedding.DefaultGrowth,
 				Ledger: defaultLedgerSettings(), LeaveDelay: jsonc.Duration(defaultLeaveDelay),
 			}
 		},
@@ -63,6 +66,12 @@
 	// MaxWait is the longest time in the queue for requests that run shorter
 	// than that.
 	MaxWait jsonc.Duration `json:"max_wait"`
+	// QueueShare is the length of the queue, as a share of the concurrency
+	// limit, that ingresses are made to keep up under overload.
+	QueueShare float64 `json:"queue_share"`
+	// Growth is the relative growth in a second that the accepted share of an
+	// importance may have.
+	Growth float64 `json:"growth"`
 
 	// Ledger bounds what is remembered of requests that run at most once.
 	Ledger LedgerSettings `json:"ledger"`
@@ -109,6 +118,12 @@
 	if wait := m.MaxWait.Std(); wait < minMaxWait || wait > maxMaxWait {
 		findings.Addf(prefix+"/max_wait", "must be %s to %s", minMaxWait, maxMaxWait)
 	}
+	if !(m.QueueShare > 0) || m.QueueShare > queuePerSlot {
+		findings.Addf(prefix+"/queue_share", "must be above 0 and at most %d", queuePerSlot)
+	}
+	if !(m.Growth > 0) || m.Growth > maxGrowth {
+		findings.Addf(prefix+"/growth", "must be above 0 and at most %d", maxGrowth)
+	}
 }
 
 // Provision implements kernel.Module.
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/internal/httpcall"
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/jsonc"
@@ -36,7 +37,10 @@
 		ID:    ID,
 		Needs: []kernel.ID{configplugin.ID, dispatch.ID, claims.ID, quota.ID, retryplugin.ID},
 		New: func() kernel.Module {
-			return &Module{Shedding: true, LeaveGrace: jsonc.Duration(defaultLeaveGrace)}
+			return &Module{
+				Shedding: true, Hold: jsonc.Duration(shedding.DefaultHold), Fade: jsonc.Duration(shedding.DefaultFade),
+				LeaveGrace: jsonc.Duration(defaultLeaveGrace),
+			}
 		},
 	})
 }
@@ -46,6 +50,10 @@
 	// Shedding refuses requests that a service deeper in the call graph would
 	// refuse.
 	Shedding bool `json:"shedding"`
+	// Hold is how long what a VM said that it accepts counts in full; it fades
+	// over Fade.
+	Hold jsonc.Duration `json:"hold"`
+	Fade jsonc.Duration `json:"fade"`
 	// LeaveGrace is how long callers with open connections are still served
 	// and told to go elsewhere, before a planned stop closes the connections.
 	LeaveGrace jsonc.Duration `json:"leave_grace"`
@@ -66,12 +74,23 @@
 
 var (
 	_ kernel.Module      = (*Module)(nil)
+	_ kernel.Validator   = (*Module)(nil)
 	_ kernel.Starter     = (*Module)(nil)
 	_ kernel.ActorSource = (*Module)(nil)
 	_ kernel.Leaver      = (*Module)(nil)
 	_ kernel.Drainer     = (*Module)(nil)
 )
 
+// Validate implements kernel.Validator.
+func (m *Module) Validate(prefix string, findings *finding.List) {
+	if m.Hold <= 0 || m.Hold.Std() > maxLevelAge {
+		findings.Addf(prefix+"/hold", "must be above 0 and at most %s", maxLevelAge)
+	}
+	if m.Fade <= 0 || m.Fade.Std() > maxLevelAge {
+		findings.Addf(prefix+"/fade", "must be above 0 and at most %s", maxLevelAge)
+	}
+}
+
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
 	var err error
@@ -95,7 +114,7 @@
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
-	m.levels.table = shedding.NewTable(shedding.TableOptions{})
+	m.levels.table = shedding.NewTable(shedding.TableOptions{Hold: m.Hold.Std(), Fade: m.Fade.Std()})
 	m.signer = ledger.NewSigner(ctx.Node.FleetSecret)
 	e := echo.New()
 	e.POST(PathIDs, m.serveID)
--- a/plugin/ingress/shed.go
+++ b/plugin/ingress/shed.go
@@ -14,7 +14,11 @@
 	"github.com/mangomast/mangomast/shedding"
 )
 
-const expireInterval = 1 * time.Second
+const (
+	expireInterval = 1 * time.Second
+	// maxLevelAge bounds the settings of how long a level counts.
+	maxLevelAge = 10 * time.Second
+)
 
 // levelTable is a shedding.Table that is safe for concurrent use.
 type levelTable struct {
--- a/shedding/publisher.go
+++ b/shedding/publisher.go
@@ -8,9 +8,11 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/mangomast/mangomast/admission"
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
 )
@@ -20,8 +22,10 @@
 	importances = config.MaxImportance + 1
 	// maxOrganisations bounds the organisations listed in a level.
 	maxOrganisations = 16
-	// demandShare is the weight of the newest interval in a demand.
-	demandShare = 0.3
+	// demandWindow is the time over which demands are averaged; risingWindow
+	// that of a rise while requests are dropped.
+	demandWindow = 300 * time.Millisecond
+	risingWindow = 100 * time.Millisecond
 	// leastDemand is a rate, in requests a second, that counts as none.
 	leastDemand = 0.1
 	// leastPassed bounds how much one arrival can stand for.
@@ -32,24 +36,31 @@
 // defaults.
 type PublisherOptions struct {
 	Service, VM string
-	// Growth is the factor by which the share of an importance may rise in
-	// one interval.
+	// Growth is the relative growth in a second that the share of an
+	// importance may have.
 	Growth float64
 	// QueueShare is the length of the queue, as a share of the limit, that
 	// the publisher aims at.
 	QueueShare float64
 }
 
+// Defaults of PublisherOptions.
+const (
+	DefaultGrowth     = 4.0
+	DefaultQueueShare = 0.5
+)
+
 const (
-	defaultGrowth     = 1.5
-	defaultQueueShare = 0.35
 	// openShare is the share by which an importance starts to be accepted.
 	openShare = 0.03
-	// Bounds and steps of the correction of the capacity.
-	leastCorrection = 0.5
-	mostCorrection  = 2.0
-	correctionStep  = 0.03
-	idleBelow       = 0.95
+	// Bounds and speed of the correction of the capacity.
+	leastCorrection = 0.8
+	mostCorrection  = 1.5
+	// correctionRate is the relative change in a second.
+	correctionRate = 0.3
+	idleBelow      = 0.95
+	// A queue that is longQueue times as long as aimed at changes it faster.
+	longQueue = 3
 )
 
 // demand is the requests of one organisation in one importance.
@@ -73,16 +84,17 @@
 	samples    int
 	busy       float64
 	queued     float64
+	dropped    int
 	level      call.Level
 }
 
 // NewPublisher returns a publisher that accepts everything.
 func NewPublisher(opts PublisherOptions) *Publisher {
 	if opts.Growth == 0 {
-		opts.Growth = defaultGrowth
+		opts.Growth = DefaultGrowth
 	}
 	if opts.QueueShare == 0 {
-		opts.QueueShare = defaultQueueShare
+		opts.QueueShare = DefaultQueueShare
 	}
 	p := &Publisher{opts: opts, correction: 1, level: call.Level{Service: opts.Service, VM: opts.VM}}
 	for i := range p.demands {
@@ -112,39 +124,45 @@
 }
 
 // Observe records the state of the admission, several times in an interval.
-func (p *Publisher) Observe(running, queued, limit int) {
+func (p *Publisher) Observe(state admission.State) {
 	p.samples++
-	p.busy += float64(running) / float64(limit)
-	p.queued += float64(queued) / float64(limit)
+	p.busy += float64(state.Running) / float64(state.Limit)
+	p.queued += float64(state.Queued) / float64(state.Limit)
 }
 
-// Update ends an interval of the given length. Service is the mean time that
-// requests run, 0 if unknown.
-func (p *Publisher) Update(interval time.Duration, limit int, service time.Duration) {
-	total := p.measure(interval)
-	p.correct()
-	if service == 0 {
+// Update ends an interval of the given length.
+func (p *Publisher) Update(interval time.Duration, state admission.State) {
+	dropping := state.Dropped > p.dropped
+	p.dropped = state.Dropped
+	total := p.measure(interval, dropping)
+	p.correct(interval)
+	if state.Service == 0 {
 		return
 	}
-	capacity := float64(limit) / service.Seconds() * p.correction
+	capacity := float64(state.Limit) / state.Service.Seconds() * p.correction
 	if total <= capacity && p.open() {
 		p.correction = max(1, p.correction)
 		return
 	}
-	p.share(capacity)
+	p.share(capacity, math.Exp(p.opts.Growth*interval.Seconds()))
 }
 
 // Level returns the level of the last update.
 func (p *Publisher) Level() call.Level { return p.level }
 
-// measure averages the demands and returns the total.
-func (p *Publisher) measure(interval time.Duration) float64 {
+// measure averages the demands and returns the total. While requests are
+// dropped, demands that rise count sooner.
+func (p *Publisher) measure(interval time.Duration, dropping bool) float64 {
 	total := 0.0
 	for _, demands := range p.demands {
 		for organisation, d := range demands {
 			rate := d.arrived / interval.Seconds()
 			d.arrived = 0
-			d.rate += demandShare * (rate - d.rate)
+			window := demandWindow
+			if dropping && rate > d.rate {
+				window = risingWindow
+			}
+			d.rate += (rate - d.rate) * -math.Expm1(-interval.Seconds()/window.Seconds())
 			total += d.rate
 			if d.rate < leastDemand {
 				delete(demands, organisation)
@@ -156,20 +174,24 @@
 
 // correct adapts the correction to the queue: a long one means that too much
 // is accepted, an idle upstream too little.
-func (p *Publisher) correct() {
+func (p *Publisher) correct(interval time.Duration) {
 	if p.samples == 0 {
 		return
 	}
 	busy, queued := p.busy/float64(p.samples), p.queued/float64(p.samples)
 	p.samples, p.busy, p.queued = 0, 0, 0
+	rate := 0.0
 	switch {
+	case queued > longQueue*p.opts.QueueShare:
+		rate = -3 * correctionRate
 	case queued > p.opts.QueueShare:
-		p.correction *= 1 - correctionStep
+		rate = -correctionRate
 	case busy < idleBelow:
-		p.correction *= 1 + 3*correctionStep
+		rate = 3 * correctionRate
 	case queued < p.opts.QueueShare/2:
-		p.correction *= 1 + correctionStep
+		rate = correctionRate
 	}
+	p.correction *= math.Exp(rate * interval.Seconds())
 	p.correction = min(mostCorrection, max(leastCorrection, p.correction))
 }
 
@@ -177,12 +199,12 @@
 
 // share gives the capacity to the importances from the highest down. None has
 // a larger share than one above it, and none grows faster than the options say.
-func (p *Publisher) share(capacity float64) {
+func (p *Publisher) share(capacity, growth float64) {
 	level := call.Level{Service: p.opts.Service, VM: p.opts.VM, Accepted: make([]byte, importances-1)}
 	open, most := true, 1.0
 	for i := importances - 1; i > 0; i-- {
 		fair := fairShares(p.demands[i], max(0, capacity))
-		most = min(most, p.opts.Growth*p.shares[i]+openShare)
+		most = min(most, growth*p.shares[i]+openShare)
 		share := min(fair.share, most)
 		if fair.share > 0 {
 			fair.scale(share / fair.share)
--- a/shedding/shedding_test.go
+++ b/shedding/shedding_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/mangomast/mangomast/admission"
 	"github.com/mangomast/mangomast/call"
 )
 
@@ -16,14 +17,19 @@
 func TestSharesAreFairAndOrdered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := NewPublisher(PublisherOptions{Service: "s", VM: "v"})
+		state := admission.State{Limit: 8}
 		for range rapid.IntRange(1, 30).Draw(t, "intervals") {
 			for range rapid.IntRange(0, 40).Draw(t, "arrivals") {
 				p.Arrived(uint8(rapid.IntRange(1, 9).Draw(t, "importance")),
 					rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
 					rapid.Float64Range(0.1, 10).Draw(t, "weight"), rapid.Float64Range(0, 1).Draw(t, "passed"))
 			}
-			p.Observe(rapid.IntRange(0, 8).Draw(t, "running"), rapid.IntRange(0, 32).Draw(t, "queued"), 8)
-			p.Update(interval, 8, time.Duration(rapid.IntRange(0, 500).Draw(t, "ms"))*time.Millisecond)
+			state.Running = rapid.IntRange(0, 8).Draw(t, "running")
+			state.Queued = rapid.IntRange(0, 32).Draw(t, "queued")
+			state.Service = time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			state.Dropped += rapid.IntRange(0, 5).Draw(t, "dropped")
+			p.Observe(state)
+			p.Update(interval, state)
 			level := p.Level()
 			for i := 1; i < len(level.Accepted); i++ {
 				if level.Accepted[i-1] > level.Accepted[i] {
@@ -68,6 +74,7 @@
 	table     *Table
 	now       time.Time
 	random    uint64
+	state     admission.State
 }
 
 // step sends the rates, by importance, for one interval and returns the
@@ -87,10 +94,12 @@
 		}
 	}
 	capacity := float64(limit) / latency.Seconds()
-	running := int(min(1, total/capacity) * float64(limit))
-	queued := int(max(0, total/capacity-1) * float64(limit))
-	s.publisher.Observe(running, queued, limit)
-	s.publisher.Update(interval, limit, latency)
+	s.state.Running = int(min(1, total/capacity) * float64(limit))
+	s.state.Queued = int(max(0, total/capacity-1) * float64(limit))
+	s.state.Limit, s.state.Service = limit, latency
+	s.state.Dropped += int(max(0, total-capacity) * interval.Seconds())
+	s.publisher.Observe(s.state)
+	s.publisher.Update(interval, s.state)
 	s.now = s.now.Add(interval)
 	s.table.Learn("r", true, []call.Level{s.publisher.Level()}, s.now)
 	return accepted
@@ -135,7 +144,7 @@
 	assert.Equal(t, d.Service, "often")
 	assert.Equal(t, d.Passed, 0.5)
 	assert.Assert(t, table.Decide("other", 5, "o", 0, now).Accept)
-	later := now.Add(defaultHold + defaultFade)
+	later := now.Add(DefaultHold + DefaultFade)
 	assert.Assert(t, table.Decide("r", 5, "o", 0, later).Accept)
 	table.Expire(later.Add(time.Millisecond))
 	assert.Equal(t, len(table.services), 0)
@@ -143,6 +152,7 @@
 
 func TestOrganisationsHaveSharesOfTheirOwn(t *testing.T) {
 	p := NewPublisher(PublisherOptions{Service: "s", VM: "v"})
+	state := admission.State{Running: 10, Queued: 1, Limit: 10, Service: 50 * time.Millisecond}
 	for range 30 {
 		for range 90 {
 			p.Arrived(5, "greedy", 1, 0)
@@ -150,8 +160,8 @@
 		for range 5 {
 			p.Arrived(5, "modest", 1, 0)
 		}
-		p.Observe(10, 4, 10)
-		p.Update(interval, 10, 50*time.Millisecond)
+		p.Observe(state)
+		p.Update(interval, state)
 	}
 	level := p.Level()
 	assert.Assert(t, level.Share(5, "modest") > 0.95, "%+v", level)
--- a/shedding/table.go
+++ b/shedding/table.go
@@ -12,9 +12,13 @@
 	Hold, Fade time.Duration
 }
 
+// Defaults of TableOptions.
+const (
+	DefaultHold = 400 * time.Millisecond
+	DefaultFade = 1 * time.Second
+)
+
 const (
-	defaultHold = 400 * time.Millisecond
-	defaultFade = 1 * time.Second
 	// graphWindow is the number of answers that the call graph of a route is
 	// learned from.
 	graphWindow = 256
@@ -49,10 +53,10 @@
 // NewTable returns an empty table.
 func NewTable(opts TableOptions) *Table {
 	if opts.Hold == 0 {
-		opts.Hold = defaultHold
+		opts.Hold = DefaultHold
 	}
 	if opts.Fade == 0 {
-		opts.Fade = defaultFade
+		opts.Fade = DefaultFade
 	}
 	return &Table{opts: opts, services: map[string]map[string]heard{}, routes: map[string]*graph{}}
 }
@@ -136,27 +140,28 @@
 	return d
 }
 
-// share returns the mean share over the service's VMs that were heard of.
+// share returns the mean share over the service's VMs that were heard of, the
+// older ones counting less. It opens up as the newest gets old.
 func (t *Table) share(service string, importance uint8, organisation string, now time.Time) float64 {
-	vms := t.services[service]
-	total, count := 0.0, 0
-	for _, h := range vms {
-		total += t.aged(h.level.Share(importance, organisation), now.Sub(h.made))
-		count++
-	}
-	if count == 0 {
+	total, weights, freshest := 0.0, 0.0, 0.0
+	for _, h := range t.services[service] {
+		weight := t.freshness(now.Sub(h.made))
+		total += weight * h.level.Share(importance, organisation)
+		weights += weight
+		freshest = max(freshest, weight)
+	}
+	if weights == 0 {
 		return 1
 	}
-	return total / float64(count)
+	return 1 - freshest*(1-total/weights)
 }
 
-// aged opens a share up as its level gets old.
-func (t *Table) aged(share float64, age time.Duration) float64 {
+// freshness returns how much a level of the age counts, 0 to 1.
+func (t *Table) freshness(age time.Duration) float64 {
 	if age <= t.opts.Hold {
-		return share
+		return 1
 	}
-	faded := min(1, (age-t.opts.Hold).Seconds()/t.opts.Fade.Seconds())
-	return share + (1-share)*faded
+	return max(0, 1-(age-t.opts.Hold).Seconds()/t.opts.Fade.Seconds())
 }
 
 // Expire forgets the VMs whose levels no longer count.
