Serve bursts and short bursts without wrongful refusals

With a burst of 5 and 0.6 of the rate spread evenly, 217 of 650 were refused: each holder's part of the burst was just below one, so none got a rate.

Change: an organisation counts as above its rate only after half a second; a part of the burst below one is rounded.

--- a/quota/owner.go
+++ b/quota/owner.go
@@ -29,8 +29,10 @@
 	// scarce is the part of the burst below which the owner's bucket is low.
 	scarce = 0.25
 	// overload is the demand, as a multiple of the rate, above which requests
-	// are refused instead of waiting for recalled tokens.
-	overload = 1.2
+	// are refused instead of waiting for recalled tokens, once it has lasted
+	// for overloadAfter; a burst that fits is over before.
+	overload      = 1.2
+	overloadAfter = 500 * time.Millisecond
 	// recallGap is the least time between two recalls of a holder, and
 	// recallFanout the number of holders recalled at once.
 	recallGap    = 30 * time.Millisecond
@@ -52,6 +54,8 @@
 	// reported yet; it is counted as out until unknownUntil.
 	unknown      Share
 	unknownUntil time.Time
+	// withinAt is when the demand was last within the rate.
+	withinAt time.Time
 }
 
 // NewOwner returns the owner of a term that begins now, once the term is
@@ -141,12 +145,15 @@
 		return Answer{Term: o.term, Number: ask.Number, Limit: o.limit, Next: askInterval}, nil, nil
 	}
 	o.holders.renew(r, now.Add(Lease+leaseMargin))
+	if o.holders.demand <= overload*o.limit.Rate {
+		o.withinAt = now
+	}
 	answer, unmet := o.grant(r, ask)
 	if unmet < 1 {
 		return answer, nil, nil
 	}
 	answer.Wait = emptyWait
-	if o.holders.demand > overload*o.limit.Rate {
+	if now.Sub(o.withinAt) > overloadAfter {
 		answer.Exhausted = true
 		return answer, nil, nil
 	}
@@ -218,7 +225,11 @@
 	rate := min(r.demand*(1+headroom), part*o.limit.Rate*(1-ownerReserve))
 	burst := min(max(1, r.demand*coverTime.Seconds()), part*o.limit.Burst*holdersBurst)
 	if burst < 1 {
-		return Share{}
+		// Such a bucket would never hold a token. Round it; the owner mints
+		// for a holder that gets none.
+		if burst = math.Round(burst); burst == 0 || float64(o.holders.len()) >= o.limit.Burst {
+			return Share{}
+		}
 	}
 	return Share{Rate: rate, Burst: burst}
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -76,3 +76,17 @@
 	_, _, err = owner.Handle(now, HolderID{VM: "vm-1"}, holder.Ask(now, 10))
 	assert.Equal(t, err, ErrLimit)
 }
+
+// TestLeaseCountsFromTheAsk checks that an answer which is applied after a long
+// pause gives no share, as the owner has counted it as expired.
+func TestLeaseCountsFromTheAsk(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 10}
+	owner, holder := NewOwner(epoch, firstTerm, limit, proofBound), NewHolder("org", limit)
+	holder.Follow(epoch, firstTerm, epoch.Add(proofBound))
+	answer, _, err := owner.Handle(epoch, HolderID{VM: "vm-1"}, holder.Ask(epoch, 10))
+	assert.NilError(t, err)
+	resumed := epoch.Add(Lease)
+	holder.Follow(resumed, firstTerm, resumed.Add(proofBound))
+	holder.Apply(resumed, answer)
+	assert.Equal(t, holder.Take(resumed), Wait)
+}
