Tell when old proofs have run out also after an early acceptance

The change of owner was accepted by acknowledgements 4.6 s after it was written, when the paused VM came back, and then nothing told the successor when the older proofs had run out, so it waited for the whole bound again.

Change: an accepted revision is followed until the proofs of all earlier ones have run out, and Lapsed says so. Case quota has a phase in which the owner stops as planned.

Two owners lost within 4 s leave an organisation without rate until the second change is accepted. The phase now comes last.

--- a/internal/bench/quota.go
+++ b/internal/bench/quota.go
@@ -89,6 +89,7 @@
 		{name: "ingress killed", length: 4 * time.Second, begin: killIngress},
 		{name: "region cut", length: 5 * time.Second, begin: cutRegion},
 		{name: "region back", length: 2 * time.Second},
+		{name: "owner stopped", length: 4 * time.Second, begin: stopOwner},
 	}
 }
 
@@ -168,6 +169,20 @@
 	}, owner.Process.Freeze()
 }
 
+// stopOwner tells the owner to stop and starts it again at the end.
+func stopOwner(ctx context.Context, q *quotaRun) (func() error, error) {
+	owner, err := q.fleet.Owner(ctx, q.keys[0].Organisation)
+	if err != nil {
+		return nil, err
+	}
+	q.setAway(owner, true)
+	return func() error {
+		<-owner.Process.Done()
+		q.setAway(owner, false)
+		return q.fleet.StartNode(owner)
+	}, owner.Process.Terminate()
+}
+
 func killOwner(ctx context.Context, q *quotaRun) (func() error, error) {
 	owner, err := q.fleet.Owner(ctx, q.keys[0].Organisation)
 	if err != nil {
--- a/revision/acceptance.go
+++ b/revision/acceptance.go
@@ -17,10 +17,12 @@
 type Acceptance struct {
 	bound    time.Duration
 	accepted int64
-	// lapsed is the highest revision known to be accepted because the proofs
-	// of all earlier ones had run out.
+	// lapsed is the highest revision for which the proofs of all earlier ones
+	// are known to have run out.
 	lapsed  int64
 	pending []pending
+	// lapsing was accepted before those proofs have run out.
+	lapsing pending
 }
 
 type pending struct {
@@ -32,6 +34,11 @@
 	cutOff time.Duration
 }
 
+// lapsed reports whether all proofs of an earlier revision have run out.
+func (p *pending) lapsed(bound time.Duration, now time.Time) bool {
+	return !p.acknowledged.IsZero() && now.Sub(p.acknowledged) > max(bound, p.cutOff)
+}
+
 // NewAcceptance returns an Acceptance for proofs that count up to the bound.
 func NewAcceptance(bound time.Duration) *Acceptance { return &Acceptance{bound: bound} }
 
@@ -89,6 +96,9 @@
 // revision.
 func (a *Acceptance) Decide(e Evidence, now time.Time) int64 {
 	accepted := a.accepted
+	if a.lapsing.lapsed(a.bound, now) {
+		a.LearnLapsed(a.lapsing.revision)
+	}
 	for i := range a.pending {
 		p := &a.pending[i]
 		if p.acknowledged.IsZero() && e.Acknowledged(p.revision) {
@@ -97,12 +107,13 @@
 		if p.acknowledged.IsZero() {
 			continue
 		}
-		lapsed := now.Sub(p.acknowledged) > max(a.bound, p.cutOff)
+		lapsed := p.lapsed(a.bound, now)
 		if lapsed {
 			a.LearnLapsed(p.revision)
 		}
 		if lapsed || e.Everyone(p.revision) {
 			accepted = p.revision
+			a.lapsing = *p
 		}
 	}
 	a.Learn(accepted)
