Choose free ports outside the range of outgoing connections

Cause: a test of the console hung for ten minutes, and starts of rigs failed with "address already in use". Free ports were found by listening on port 0 and closing, which gives ports of the range that outgoing connections use; one of those took the port before the node did. The demo then ended before it served, and the tests waited for it without a bound. Excluded: a fleet that starts but never serves: the demo's error said the port. Change: package freeport chooses ports below that range, for the rig and the demo; the tests fail with the demo's error if it ends. Measured: go test -count=1 ./plugin/console ./cmd/mangomast ./internal/rig passes. The collision itself was not made to happen again.

--- a/cmd/mangomast/main_test.go
+++ b/cmd/mangomast/main_test.go
@@ -37,7 +37,14 @@
 		cancel()
 		assert.NilError(t, <-done)
 	})
-	return <-ready
+	select {
+	case c := <-ready:
+		return c
+	case err := <-done:
+		done <- err
+		t.Fatalf("the demo fleet ended before it served: %v", err)
+		return nil
+	}
 }
 
 // run executes a command and returns its exit code and output.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -18,6 +17,7 @@
 
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/edit"
+	"github.com/mangomast/mangomast/internal/freeport"
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/internal/standin"
 	"github.com/mangomast/mangomast/jsonc"
@@ -153,7 +153,7 @@
 
 // startVM runs one upstream and its node.
 func (f *fleet) startVM(ctx context.Context, p place) error {
-	addresses, err := freeAddresses(5)
+	addresses, err := freeport.Addresses("127.0.0.1", 5)
 	if err != nil {
 		return err
 	}
@@ -271,16 +271,3 @@
 	}
 	return nil
 }
-
-func freeAddresses(count int) ([]string, error) {
-	addresses := make([]string, count)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		defer func() { _ = l.Close() }()
-		addresses[i] = l.Addr().String()
-	}
-	return addresses, nil
-}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -26,6 +26,7 @@
 
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/edit"
+	"github.com/mangomast/mangomast/internal/freeport"
 	"github.com/mangomast/mangomast/internal/standin"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/operator"
@@ -147,7 +148,7 @@
 
 func (r *Rig) startStore() error {
 	ip := r.ip(0, 0)
-	addresses, err := freeAddresses(ip, 2)
+	addresses, err := freeport.Addresses(ip, 2)
 	if err != nil {
 		return err
 	}
@@ -172,7 +173,7 @@
 // place chooses the addresses of a node and starts its proxies.
 func (r *Rig) place(index int, spec NodeSpec) (*Node, error) {
 	ip := r.ip(1+index/200, index%200)
-	addresses, err := freeAddresses(ip, 7)
+	addresses, err := freeport.Addresses(ip, 7)
 	if err != nil {
 		return nil, err
 	}
@@ -368,20 +369,6 @@
 	_ = os.RemoveAll(r.dir)
 }
 
-// freeAddresses returns addresses on the IP number that nothing listens on.
-func freeAddresses(ip string, count int) ([]string, error) {
-	addresses := make([]string, count)
-	for i := range addresses {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		defer func() { _ = l.Close() }()
-		addresses[i] = l.Addr().String()
-	}
-	return addresses, nil
-}
-
 func waitListening(address string) error {
 	const attempts = 200
 	for range attempts {
--- a/plugin/console/console_test.go
+++ b/plugin/console/console_test.go
@@ -36,8 +36,14 @@
 		cancel()
 		assert.NilError(t, <-done)
 	})
-	found := <-ready
-	return found[0], found[1]
+	select {
+	case found := <-ready:
+		return found[0], found[1]
+	case err := <-done:
+		done <- err
+		t.Fatalf("the demo fleet ended before it served: %v", err)
+		return "", ""
+	}
 }
 
 func newBrowser(t *testing.T, base string) *browser {
