Let only relays replace owners, and name their addresses

Cause: a new test with 12 VMs of four services in two failure domains showed organisations without a rate for the whole run. A node that is no relay knows only the services that it calls. It took owners that it did not know for gone, wrote itself a new owner table about once a second, 69 revisions in a minute, and could not find an owner's address to ask it. Excluded: subscribing every node to every owner; asking the relays for each owner on the call path. Change: only a relay that has known the whole fleet for a second writes the table, in the order of failure domains and of relays within them; the table names the owner's mesh address and an ask names the holder's.

--- a/config/owner.go
+++ b/config/owner.go
@@ -16,6 +16,8 @@
 	Incarnation  uint64 `json:"incarnation" cbor:"3,keyasint"`
 	// Term grows with each change of the organisation's owner.
 	Term uint64 `json:"term" cbor:"4,keyasint"`
+	// Address is the node's mesh address, as most nodes do not know every VM.
+	Address string `json:"address" cbor:"5,keyasint"`
 }
 
 // OwnerTable lists the owners, one for each organisation. It is kept in the
--- a/internal/rig/owners.go
+++ b/internal/rig/owners.go
@@ -9,23 +9,26 @@
 	"github.com/mangomast/mangomast/store/etcd"
 )
 
+// Owners returns the owner table in the store; nil if there is none.
+func (r *Rig) Owners(ctx context.Context) (*config.OwnerTable, error) {
+	listing, err := etcd.New(etcd.Options{Endpoints: []string{r.StoreURL}}).Get(ctx, StorePrefix+config.OwnersKey)
+	if err != nil || len(listing.Records) == 0 {
+		return nil, err
+	}
+	return config.ParseOwners(listing.Records[0].Value, listing.Records[0].ModRevision)
+}
+
 // Owner returns the node that the owner table in the store names for an
 // organisation.
 func (r *Rig) Owner(ctx context.Context, organisation string) (*Node, error) {
-	listing, err := etcd.New(etcd.Options{Endpoints: []string{r.StoreURL}}).Get(ctx, StorePrefix+config.OwnersKey)
+	table, err := r.Owners(ctx)
 	if err != nil {
 		return nil, err
 	}
-	for _, record := range listing.Records {
-		table, err := config.ParseOwners(record.Value, record.ModRevision)
-		if err != nil {
-			return nil, err
-		}
-		owner, _ := table.Owner(organisation)
-		for _, node := range r.Nodes {
-			if node.Spec.VM == owner.VM {
-				return node, nil
-			}
+	owner, _ := table.Owner(organisation)
+	for _, node := range r.Nodes {
+		if node.Spec.VM == owner.VM {
+			return node, nil
 		}
 	}
 	return nil, errors.Errorf("organisation %s has no owner", organisation)
--- a/membership/view.go
+++ b/membership/view.go
@@ -123,6 +123,10 @@
 // sorts them. Only relays know every VM of the fleet; see Directory.
 func (v *View) All() []Entry { return v.all() }
 
+// Complete reports whether the node is a relay, whose view lists the whole
+// fleet. A VM that is absent from another node's view may well be a member.
+func (v *View) Complete() bool { return v.lookup == nil }
+
 // Get returns the entry of a VM.
 func (v *View) Get(vm string) (Entry, bool) {
 	entry, ok := v.vms[shardOf(vm)][vm]
--- a/plugin/quota/holders.go
+++ b/plugin/quota/holders.go
@@ -284,16 +284,20 @@
 
 func (s *holders) exchange(ctx context.Context, owner config.Owner, ask quota.Ask) (answer quota.Answer, err error) {
 	if owner.VM == s.mesh.Self().VM {
-		return s.owners.serveAsk(ctx, s.mesh.Self(), ask)
+		return s.owners.answer(s.mesh.Self(), ask)
 	}
-	entry, ok := s.members.View().Get(owner.VM)
-	if !ok {
-		return answer, errOwnerAbsent
-	}
-	err = s.mesh.Exchange(ctx, mesh.Peer{VM: owner.VM, Address: entry.MeshAddress}, mesh.KindQuota, ask, &answer)
+	message := askMessage{Ask: ask, Address: s.members.Self().MeshAddress}
+	err = s.mesh.Exchange(ctx, mesh.Peer{VM: owner.VM, Address: owner.Address}, mesh.KindQuota, message, &answer)
 	return answer, err
 }
 
+// askMessage is an ask on its way to the owner.
+type askMessage struct {
+	Ask quota.Ask `cbor:"1,keyasint"`
+	// Address is the holder's mesh address, for recalls.
+	Address string `cbor:"2,keyasint"`
+}
+
 // nothing is the answer to a recall.
 type nothing struct{}
 
--- a/plugin/quota/keeper.go
+++ b/plugin/quota/keeper.go
@@ -10,12 +10,13 @@
 
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/membership"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
 	"github.com/mangomast/mangomast/quota"
 	"github.com/mangomast/mangomast/store"
 )
 
 const (
-	// settleTime is how long a node learns the members before it writes.
+	// settleTime is how long a relay learns the members before it writes.
 	settleTime = time.Second
 	// keepInterval is the time between two looks at the table.
 	keepInterval = 200 * time.Millisecond
@@ -27,20 +28,24 @@
 	writePause   = 1 * time.Second
 )
 
-// tableKeeper replaces owners that are missing or gone. Every node runs one;
-// compare-and-swap lets only one of several writes win.
+// tableKeeper replaces owners that are missing or gone. Only relays do, since
+// only they know who is a member; compare-and-swap lets only one of several
+// writes win.
 type tableKeeper struct {
 	*Module
-	store store.Store
-	key   string
+	store  store.Store
+	relays *membershipplugin.Module
+	key    string
 	// since is when the table was first seen to need a change; zero if it
 	// does not.
 	since time.Time
 	delay time.Duration
+	// completeSince is when this node became a relay; zero if it is none.
+	completeSince time.Time
 }
 
-func newTableKeeper(m *Module, platform store.Store, key string) *tableKeeper {
-	return &tableKeeper{Module: m, store: platform, key: key}
+func newTableKeeper(m *Module, platform store.Store, relays *membershipplugin.Module, key string) *tableKeeper {
+	return &tableKeeper{Module: m, store: platform, relays: relays, key: key}
 }
 
 func (k *tableKeeper) run(ctx context.Context) error {
@@ -58,12 +63,12 @@
 // check writes a changed table if one is needed for long enough. It returns
 // the time to the next check.
 func (k *tableKeeper) check(ctx context.Context) time.Duration {
-	snapshot := k.config.Snapshot()
-	if snapshot == nil || !k.config.Fresh() {
+	snapshot, view := k.config.Snapshot(), k.members.View()
+	if snapshot == nil || !k.config.Fresh() || !k.knowsFleet(view) {
 		k.since = time.Time{}
 		return keepInterval
 	}
-	candidates := candidatesOf(k.members.View())
+	candidates := candidatesOf(view)
 	next, changed := quota.Assign(snapshot.Owners, snapshot.Document.Organisations, candidates, storeRegion(snapshot.Document))
 	if !changed {
 		k.since = time.Time{}
@@ -72,7 +77,7 @@
 	now := k.clock.Now()
 	if k.since.IsZero() {
 		k.since = now
-		k.delay = time.Duration(float64(quota.Rank(k.mesh.Self().VM, candidates))*float64(rankDelay) + rand.Float64()*float64(keepInterval))
+		k.delay = time.Duration(k.rank(view))*rankDelay + rand.N(keepInterval)
 	}
 	if now.Sub(k.since) < k.delay {
 		return keepInterval / 4
@@ -84,6 +89,35 @@
 	return writePause + time.Duration(rand.Float64()*float64(writePause))
 }
 
+// knowsFleet reports whether this node has been a relay for long enough to
+// have heard of every member.
+func (k *tableKeeper) knowsFleet(view *membership.View) bool {
+	now := k.clock.Now()
+	if !view.Complete() {
+		k.completeSince = time.Time{}
+		return false
+	}
+	if k.completeSince.IsZero() {
+		k.completeSince = now
+	}
+	return now.Sub(k.completeSince) >= settleTime
+}
+
+// rank returns how many relays write before this one: those of failure domains
+// that come first, and those before it in its own.
+func (k *tableKeeper) rank(view *membership.View) int {
+	seen := map[string]bool{}
+	var domains []string
+	for _, entry := range view.All() {
+		if !seen[entry.FailureDomain] {
+			seen[entry.FailureDomain] = true
+			domains = append(domains, entry.FailureDomain)
+		}
+	}
+	_, own := k.relays.Position()
+	return quota.Rank(k.mesh.Self().FailureDomain, domains) + max(0, own)
+}
+
 func (k *tableKeeper) write(ctx context.Context, before, next *config.OwnerTable) error {
 	data, err := json.Marshal(next)
 	if err != nil {
@@ -112,7 +146,9 @@
 		if entry.State == membership.Leaving || entry.State == membership.Gone {
 			continue
 		}
-		candidates = append(candidates, quota.Candidate{VM: entry.VM, Incarnation: entry.Incarnation, Region: entry.Region})
+		candidates = append(candidates, quota.Candidate{
+			VM: entry.VM, Incarnation: entry.Incarnation, Region: entry.Region, Address: entry.MeshAddress,
+		})
 	}
 	return candidates
 }
--- a/plugin/quota/owners.go
+++ b/plugin/quota/owners.go
@@ -13,8 +13,7 @@
 )
 
 var (
-	errOwnerAbsent = errors.New("the organisation's owner is not a member")
-	errNotOwner    = errors.New("this node is not the organisation's owner now")
+	errNotOwner = errors.New("this node is not the organisation's owner now")
 )
 
 const recallTimeout = 300 * time.Millisecond
@@ -24,6 +23,8 @@
 	*Module
 	mu             sync.Mutex
 	byOrganisation map[string]*quota.Owner
+	// addresses are the mesh addresses of the holders that asked.
+	addresses map[quota.HolderID]string
 	// settled is the snapshot that needs no further look.
 	settled *config.Snapshot
 }
@@ -63,6 +64,9 @@
 			delete(s.byOrganisation, organisation)
 		}
 	}
+	if len(s.byOrganisation) == 0 {
+		clear(s.addresses)
+	}
 	if settled {
 		s.settled = snapshot
 	}
@@ -113,8 +117,16 @@
 	return owner, true
 }
 
-// serveAsk answers a holder.
-func (s *owners) serveAsk(_ context.Context, from mesh.Identity, ask quota.Ask) (quota.Answer, error) {
+// serveAsk answers another node's holder.
+func (s *owners) serveAsk(_ context.Context, from mesh.Identity, message askMessage) (quota.Answer, error) {
+	s.mu.Lock()
+	s.addresses[quota.HolderID{VM: from.VM, Incarnation: from.Incarnation}] = message.Address
+	s.mu.Unlock()
+	return s.answer(from, message.Ask)
+}
+
+// answer answers a holder.
+func (s *owners) answer(from mesh.Identity, ask quota.Ask) (quota.Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	owner, ok := s.owner(ask.Organisation)
@@ -141,12 +153,14 @@
 		_, _ = s.holders.serveRecall(ctx, s.mesh.Self(), recall)
 		return
 	}
-	entry, ok := s.members.View().Get(id.VM)
-	if !ok || entry.Incarnation != id.Incarnation {
+	s.mu.Lock()
+	address, ok := s.addresses[id]
+	s.mu.Unlock()
+	if !ok {
 		return
 	}
 	var answer nothing
-	err := s.mesh.Exchange(ctx, mesh.Peer{VM: id.VM, Address: entry.MeshAddress}, mesh.KindQuotaRecall, recall, &answer)
+	err := s.mesh.Exchange(ctx, mesh.Peer{VM: id.VM, Address: address}, mesh.KindQuotaRecall, recall, &answer)
 	if err != nil {
 		s.log.WithError(err).WithField("holder", id.VM).Debug("holder did not answer a recall")
 	}
--- a/plugin/quota/quota.go
+++ b/plugin/quota/quota.go
@@ -118,6 +118,10 @@
 	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
 		return err
 	}
+	relays, err := kernel.Require[*membershipplugin.Module](ctx)
+	if err != nil {
+		return err
+	}
 	platform, err := kernel.Require[store.Store](ctx)
 	if err != nil {
 		return err
@@ -125,8 +129,8 @@
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
 	m.holders = &holders{Module: m, byOrganisation: map[string]*holding{}}
-	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}}
-	m.keeper = newTableKeeper(m, platform, ctx.Node.Store.Prefix+config.OwnersKey)
+	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}, addresses: map[quota.HolderID]string{}}
+	m.keeper = newTableKeeper(m, platform, relays, ctx.Node.Store.Prefix+config.OwnersKey)
 	m.mesh.Handle(mesh.KindQuota, mesh.Typed(m.owners.serveAsk))
 	m.mesh.Handle(mesh.KindQuotaRecall, mesh.Typed(m.holders.serveRecall))
 	kernel.Provide[Gate](ctx, m)
--- a/quota/assign.go
+++ b/quota/assign.go
@@ -14,6 +14,8 @@
 	VM          string
 	Incarnation uint64
 	Region      string
+	// Address is the node's mesh address.
+	Address string
 }
 
 // Assign returns the owner table in which every organisation has an owner
@@ -52,7 +54,7 @@
 			continue
 		}
 		chosen := rendezvous(org.ID, preferred)
-		owner.VM, owner.Incarnation = chosen.VM, chosen.Incarnation
+		owner.VM, owner.Incarnation, owner.Address = chosen.VM, chosen.Incarnation, chosen.Address
 		owner.Term++
 		changed = true
 	}
@@ -69,12 +71,13 @@
 
 func weight(organisation, vm string) uint64 { return xxh3.HashString(organisation + "\x00" + vm) }
 
-// Rank returns how many candidates come before the VM in writing the table, so
-// that the first one writes at once and the others only if it did not.
-func Rank(vm string, candidates []Candidate) int {
+// Rank returns the position of a failure domain among all, so that the relays
+// of the first one write the table at once and the others only if those did
+// not.
+func Rank(domain string, domains []string) int {
 	before := 0
-	for _, c := range candidates {
-		if weight("", c.VM) > weight("", vm) {
+	for _, other := range domains {
+		if weight("", other) > weight("", domain) {
 			before++
 		}
 	}
