--- a/kernel/context.go
+++ b/kernel/context.go
@@ -43,3 +43,17 @@
 	}
 	return service, nil
 }
+
+// Resolve sets each target, a pointer to a variable, to the service of the
+// variable's type. The error names the first type that no module provides.
+func Resolve(ctx *Context, targets ...any) error {
+	for _, target := range targets {
+		variable := reflect.ValueOf(target).Elem()
+		service, ok := ctx.services[variable.Type()]
+		if !ok {
+			return errors.Errorf("no module provides %s", variable.Type())
+		}
+		variable.Set(reflect.ValueOf(service))
+	}
+	return nil
+}
--- a/plugin/admin/admin.go
+++ b/plugin/admin/admin.go
@@ -49,14 +49,7 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
-		return err
-	}
-	if m.fleet, err = kernel.Require[membership.Directory](ctx); err != nil {
-		return err
-	}
-	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
+	if err := kernel.Resolve(ctx, &m.members, &m.fleet, &m.config); err != nil {
 		return err
 	}
 	e := echo.New()
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -122,14 +122,7 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.store, err = kernel.Require[store.Store](ctx); err != nil {
-		return err
-	}
-	if m.members, err = kernel.Require[*membershipplugin.Module](ctx); err != nil {
-		return err
-	}
-	if m.mesh, err = kernel.Require[*mesh.Mesh](ctx); err != nil {
+	if err := kernel.Resolve(ctx, &m.store, &m.members, &m.mesh); err != nil {
 		return err
 	}
 	m.prefix = ctx.Node.Store.Prefix + config.StreamPrefix
--- a/plugin/console/console.go
+++ b/plugin/console/console.go
@@ -66,10 +66,7 @@
 	if err != nil {
 		return err
 	}
-	if m.service, err = kernel.Require[*operatorplugin.Service](ctx); err != nil {
-		return err
-	}
-	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
+	if err = kernel.Resolve(ctx, &m.service, &m.config); err != nil {
 		return err
 	}
 	templates, err := template.ParseFS(templateFiles, "templates/*.html")
--- a/plugin/dispatch/dispatch.go
+++ b/plugin/dispatch/dispatch.go
@@ -74,17 +74,7 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.mesh, err = kernel.Require[*mesh.Mesh](ctx); err != nil {
-		return err
-	}
-	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
-		return err
-	}
-	if m.local, err = kernel.Require[*inbound.Module](ctx); err != nil {
-		return err
-	}
-	if m.retries, err = kernel.Require[*retryplugin.Module](ctx); err != nil {
+	if err := kernel.Resolve(ctx, &m.mesh, &m.members, &m.local, &m.retries); err != nil {
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
--- a/plugin/egress/egress.go
+++ b/plugin/egress/egress.go
@@ -49,17 +49,7 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
-		return err
-	}
-	if m.dispatcher, err = kernel.Require[dispatch.Dispatcher](ctx); err != nil {
-		return err
-	}
-	if m.running, err = kernel.Require[*call.Registry](ctx); err != nil {
-		return err
-	}
-	if m.retries, err = kernel.Require[*retryplugin.Module](ctx); err != nil {
+	if err := kernel.Resolve(ctx, &m.config, &m.dispatcher, &m.running, &m.retries); err != nil {
 		return err
 	}
 	local, err := kernel.Require[*inbound.Module](ctx)
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -93,23 +93,7 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
-		return err
-	}
-	if m.freshness, err = kernel.Require[config.Freshness](ctx); err != nil {
-		return err
-	}
-	if m.dispatcher, err = kernel.Require[dispatch.Dispatcher](ctx); err != nil {
-		return err
-	}
-	if m.quota, err = kernel.Require[quota.Gate](ctx); err != nil {
-		return err
-	}
-	if m.claims, err = kernel.Require[*claims.Module](ctx); err != nil {
-		return err
-	}
-	if m.retries, err = kernel.Require[*retryplugin.Module](ctx); err != nil {
+	if err := kernel.Resolve(ctx, &m.config, &m.freshness, &m.dispatcher, &m.quota, &m.claims, &m.retries); err != nil {
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
--- a/plugin/operator/operator.go
+++ b/plugin/operator/operator.go
@@ -74,13 +74,7 @@
 		return err
 	}
 	service := &Service{static: m.Operators}
-	if service.config, err = kernel.Require[config.Source](ctx); err != nil {
-		return err
-	}
-	if service.stream, err = kernel.Require[config.Progress](ctx); err != nil {
-		return err
-	}
-	if service.fleet, err = kernel.Require[membership.Directory](ctx); err != nil {
+	if err = kernel.Resolve(ctx, &service.config, &service.stream, &service.fleet); err != nil {
 		return err
 	}
 	backend, err := kernel.Require[store.Store](ctx)
--- a/plugin/retry/retry.go
+++ b/plugin/retry/retry.go
@@ -107,11 +107,7 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.mesh, err = kernel.Require[*mesh.Mesh](ctx); err != nil {
-		return err
-	}
-	if m.members, err = kernel.Require[membership.Source](ctx); err != nil {
+	if err := kernel.Resolve(ctx, &m.mesh, &m.members); err != nil {
 		return err
 	}
 	m.clock, m.log, m.region = ctx.Clock, ctx.Log, ctx.Node.Region
