Wait for a proxy's address that a starting process still holds

Cause: mangomast-bench fairness ended with "address already in use" on a port that had just been found free. It starts two rigs at once; a process that one of them forks holds copies of the other's sockets until it runs its program. Excluded: ports of outgoing connections, which stand above the range used.

--- a/internal/rig/proxy.go
+++ b/internal/rig/proxy.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -68,7 +69,7 @@
 
 // Forward starts a proxy on the address, named listener in rules.
 func (n *Network) Forward(listener, address, target string) error {
-	l, err := net.Listen("tcp", address)
+	l, err := listenSoon(address)
 	if err != nil {
 		return errors.Wrap(err, "proxy")
 	}
@@ -99,6 +100,22 @@
 	}
 }
 
+// listenSoon listens on an address that was found free. A process that is being
+// started by another rig holds a copy of the socket that found it, until it
+// runs its program.
+func listenSoon(address string) (net.Listener, error) {
+	const attempts = 40
+	var l net.Listener
+	var err error
+	for range attempts {
+		if l, err = net.Listen("tcp", address); !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+		time.Sleep(proxyRecheck)
+	}
+	return l, err
+}
+
 // Silence makes every open connection for which choose returns true lose all
 // further bytes without being closed. It returns how many were chosen.
 func (n *Network) Silence(choose func(source, listener string) bool) int {
