Guard a link's peer and receivers between its connections

Reading the code for the same kind showed a body's receiver shared by two readers without a guard, and two places where a link that closes at the wrong moment would leave the reader of a body waiting for good. Excluded: a fault of the test; it serves a request as any node does. Change: the peer is set once and read under the lock, receivers are atomic, and a body or request that arrives while the link closes is failed at once.

--- a/mesh/client.go
+++ b/mesh/client.go
@@ -112,13 +112,13 @@
 }
 
 func (l *link) response(s *stream, f *frame) *Response {
-	resp := &Response{From: l.peer, Head: f.Head}
+	resp := &Response{From: l.identity(), Head: f.Head}
 	if f.End {
 		l.closeStream(s)
 		resp.Body = io.NopCloser(bytes.NewReader(f.Data))
 		return resp
 	}
-	resp.Body = &streamBody{bodyReceiver: s.receiver, done: func() { l.closeStream(s) }}
+	resp.Body = &streamBody{bodyReceiver: s.receiver.Load(), done: func() { l.closeStream(s) }}
 	return resp
 }
 
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/zeebo/xxh3"
@@ -39,7 +40,7 @@
 	class  Class
 	answer chan *frame
 	// receiver is the body that arrives, nil if it came inline.
-	receiver *bodyReceiver
+	receiver atomic.Pointer[bodyReceiver]
 	credits  *credits
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -63,12 +64,21 @@
 		return errors.New("link is closed or has this connection already")
 	}
 	l.conns[c.class] = c
-	l.peer = peer
+	if l.peer == (Identity{}) {
+		l.peer = peer
+	}
 	l.mu.Unlock()
 	c.start()
 	return nil
 }
 
+// identity returns who the peer is; it is known once a connection was added.
+func (l *link) identity() Identity {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peer
+}
+
 func (l *link) conn(class Class) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -99,8 +109,8 @@
 	l.cancel()
 	for _, s := range streams {
 		s.cancel()
-		if s.receiver != nil {
-			s.receiver.fail(reason)
+		if receiver := s.receiver.Load(); receiver != nil {
+			receiver.fail(reason)
 		}
 	}
 	if l.onClose != nil {
@@ -160,29 +170,34 @@
 	case frameAnswer:
 		l.receiveAnswer(s, f)
 	case frameChunk:
-		if s.receiver != nil && f.ToAcceptor != l.dialer {
-			s.receiver.push(f.Data, f.End, f.Sum)
+		if receiver := s.receiver.Load(); receiver != nil && f.ToAcceptor != l.dialer {
+			receiver.push(f.Data, f.End, f.Sum)
 		}
 	case frameCredit:
 		s.credits.add(f.Credit)
 	case frameCancel:
 		s.cancel()
 	case frameAbort:
-		if s.receiver != nil {
-			s.receiver.fail(errors.New(f.Message))
+		if receiver := s.receiver.Load(); receiver != nil {
+			receiver.fail(errors.New(f.Message))
 		}
 	}
 }
 
 func (l *link) receiveAnswer(s *stream, f *frame) {
 	if !f.End {
-		s.receiver = l.newReceiver(s, f.Data, func() { l.cancelStream(s) })
+		receiver := l.newReceiver(s, f.Data, func() { l.cancelStream(s) })
+		s.receiver.Store(receiver)
+		// A link that closed meanwhile has not seen the receiver.
+		if l.ctx.Err() != nil {
+			receiver.fail(l.failure())
+		}
 	}
 	select {
 	case s.answer <- f:
 	default:
 	}
-	if s.receiver != nil {
+	if s.receiver.Load() != nil {
 		l.grant(s, windowBytes)
 	}
 }
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -78,22 +78,27 @@
 	s := &stream{id: f.Stream, class: c.class, credits: newCredits()}
 	s.ctx, s.cancel = context.WithCancel(l.ctx)
 	if !f.End {
-		s.receiver = l.newReceiver(s, f.Data, s.cancel)
+		s.receiver.Store(l.newReceiver(s, f.Data, s.cancel))
 	}
 	l.mu.Lock()
+	closed := l.err != nil
 	l.streams[s.id] = s
 	l.mu.Unlock()
+	if closed {
+		s.cancel()
+		return
+	}
 	go l.serve(s, f)
 }
 
 func (l *link) serve(s *stream, f *frame) {
 	defer l.closeStream(s)
 	body := f.Data
-	if s.receiver != nil {
+	if receiver := s.receiver.Load(); receiver != nil {
 		l.grant(s, windowBytes)
-		whole, err := io.ReadAll(io.LimitReader(s.receiver, MaxRequestBytes+1))
+		whole, err := io.ReadAll(io.LimitReader(receiver, MaxRequestBytes+1))
 		if err != nil || len(whole) > MaxRequestBytes {
-			l.close(errors.Errorf("request body from %s is broken or too large", l.peer.VM))
+			l.close(errors.Errorf("request body from %s is broken or too large", l.identity().VM))
 			return
 		}
 		body = whole
@@ -103,7 +108,7 @@
 		l.close(errors.Errorf("request of unknown kind %d", f.Kind))
 		return
 	}
-	head, answer := handler(s.ctx, l.peer, f.Head, body)
+	head, answer := handler(s.ctx, l.identity(), f.Head, body)
 	if answer == nil {
 		answer = io.NopCloser(bytes.NewReader(nil))
 	}
