--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -86,7 +86,8 @@
 		}
 		group.Go(func() error { return f.call(groupCtx) })
 	}
-	if waitErr := group.Wait(); err == nil {
+	// The group's first error is the cause; err may be only its cancellation.
+	if waitErr := group.Wait(); waitErr != nil {
 		err = waitErr
 	}
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
