Hand a stopping node's answers on to VMs that stay

Cause: a request that ran once was answered "unknown, pin_lost" to every send after the planned stop of its pin, although its answer was known.

Excluded: a successor that may run the stopped pin's open IDs (a lost message could run one twice), a successor named in the announcement, the store.

Change: a draining node sends its closed IDs with their answers to the two VMs of the service that rank highest by rendezvous hash; whoever finds a pin gone asks the three that rank highest. Holders only give answers, never run an ID. The case drain sends answered requests again during and after each stop, and lists why requests failed; a second shape has two VMs a service.

Conclusion: a planned stop loses no answer that fits the bound; a crash still leaves "unknown".

--- a/internal/bench/delivery_test.go
+++ b/internal/bench/delivery_test.go
@@ -24,3 +24,13 @@
 }
 
 func TestAtMostOnceHolds(t *testing.T) { runShort(t, "at-most-once", 2*time.Second) }
+
+func TestAnswersOutliveAPlannedStop(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	figures, err := drainRun(ctx, &Env{Seed: 1}, drainArm{vms: 2, restarts: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, figures.Resent > 0)
+	assert.Equal(t, figures.ResentAnswered, figures.Resent)
+	assert.Equal(t, figures.RunTwice, 0)
+}
--- a/internal/bench/drain.go
+++ b/internal/bench/drain.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +42,8 @@
 	Restarts int `json:"restarts"`
 	Requests int `json:"requests"`
 	Failed   int `json:"failed"`
+	// Reasons says why requests failed.
+	Reasons string `json:"reasons"`
 	// Cut counts connections that broke after the request was sent.
 	Cut int64 `json:"cut"`
 	// LateWork counts VMs whose upstream began work later than 3 s after the
@@ -50,41 +55,72 @@
 	SlowestStopMS int64 `json:"slowest_stop_ms"`
 	// NotStopped counts nodes that were killed because they did not stop.
 	NotStopped int `json:"not_stopped"`
+	// Resent counts sends under the ID of a request that was answered before
+	// its pin stopped; ResentAnswered those that got the same answer.
+	Resent         int `json:"resent"`
+	ResentAnswered int `json:"resent_answered"`
+	RunTwice       int `json:"run_twice"`
 }
 
 func (f *drainFigures) holds() bool {
-	return f.Failed == 0 && f.Cut == 0 && f.LateWork == 0 && f.NotStopped == 0
+	kept := f.Resent > 0 && f.ResentAnswered == f.Resent && f.RunTwice == 0
+	return f.Failed == 0 && f.Cut == 0 && f.LateWork == 0 && f.NotStopped == 0 && kept
 }
 
 func (f *drainFigures) cells(name string) []string {
 	return []string{
 		name, fmt.Sprint(f.Restarts), fmt.Sprint(f.Requests), fmt.Sprint(f.Failed), fmt.Sprint(f.Cut), fmt.Sprint(f.LateWork),
 		fmt.Sprint(f.WorstMS), fmt.Sprint(f.P99MS), fmt.Sprint(f.SlowestStopMS), fmt.Sprint(f.NotStopped),
+		fmt.Sprint(f.Resent), fmt.Sprint(f.ResentAnswered), fmt.Sprint(f.RunTwice), f.Reasons,
 	}
 }
 
-func runDrain(ctx context.Context, _ *Env) (*Report, error) {
-	off, err := drainRun(ctx, false, map[string]json.RawMessage{
+// drainArm is a run with parts of leaving on or off.
+type drainArm struct {
+	name string
+	// vms is the number of VMs of each service.
+	vms int
+	// restarts bounds the restarts; 0 restarts every VM.
+	restarts int
+	// announced lets every third upstream announce that it is leaving.
+	announced bool
+	modules   map[string]json.RawMessage
+}
+
+var (
+	drainOff = drainArm{name: "leaving off", vms: 3, restarts: 2, modules: map[string]json.RawMessage{
 		"inbound": json.RawMessage(`{"leave_delay": "0s"}`),
 		"ingress": json.RawMessage(`{"leave_grace": "0s"}`),
-	})
-	if err != nil {
-		return nil, err
-	}
-	on, err := drainRun(ctx, true, nil)
-	if err != nil {
-		return nil, err
+	}}
+	drainKeepsAnswers = drainArm{name: "handover off", vms: 3, restarts: 1, modules: map[string]json.RawMessage{
+		"inbound": json.RawMessage(`{"ledger": {"handover": {"disabled": true}}}`),
+	}}
+	drainOn  = drainArm{name: "on", vms: 3, announced: true}
+	drainTwo = drainArm{name: "on, two VMs a service", vms: 2, announced: true}
+)
+
+func runDrain(ctx context.Context, env *Env) (*Report, error) {
+	var rows [][]string
+	var arms []*drainFigures
+	for _, arm := range []drainArm{drainOff, drainKeepsAnswers, drainTwo, drainOn} {
+		f, err := drainRun(ctx, env, arm)
+		if err != nil {
+			return nil, err
+		}
+		arms = append(arms, f)
+		rows = append(rows, f.cells(arm.name))
 	}
+	off, keeps, two, on := arms[0], arms[1], arms[2], arms[3]
 	return &Report{
-		Holds:   on.holds() && !off.holds(),
+		Holds:   on.holds() && two.holds() && !off.holds() && keeps.ResentAnswered < keeps.Resent,
 		Figures: on,
-		Header:  []string{"leaving", "restarts", "requests", "failed", "cut", "VMs with late work", "worst work after stop ms", "p99 ms", "slowest stop ms", "not stopped"},
-		Rows:    [][]string{off.cells("off"), on.cells("on")},
+		Header:  []string{"arm", "restarts", "requests", "failed", "cut", "VMs with late work", "worst work after stop ms", "p99 ms", "slowest stop ms", "not stopped", "sent again after the stop", "answered again", "run twice", "why failed"},
+		Rows:    rows,
 	}, nil
 }
 
-// drainRun restarts every VM in turn under load.
-func drainRun(ctx context.Context, graceful bool, modules map[string]json.RawMessage) (*drainFigures, error) {
+// drainRun restarts VMs in turn under load.
+func drainRun(ctx context.Context, env *Env, arm drainArm) (*drainFigures, error) {
 	doc := &config.Document{}
 	keys := NewOrganisations(doc, 1, 100_000, 100_000)
 	AddService(doc, "dispatch", nil)
@@ -93,10 +129,10 @@
 	AddService(doc, "fares", nil)
 	work := int(drainWork.Microseconds())
 	nodes := append(
-		Spread("dispatch", 3, 40, standin.Behaviour{WorkMicros: work, Jitter: 1, Next: []string{"/fares/quote"}}),
-		Spread("fares", 3, 40, standin.Behaviour{WorkMicros: work, Jitter: 1})...)
+		Spread("dispatch", arm.vms, 40, standin.Behaviour{WorkMicros: work, Jitter: 1, Next: []string{"/fares/quote"}}),
+		Spread("fares", arm.vms, 40, standin.Behaviour{WorkMicros: work, Jitter: 1})...)
 	for i := range nodes {
-		nodes[i].Modules = modules
+		nodes[i].Modules = arm.modules
 	}
 	AddDomains(doc, nodes)
 	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
@@ -104,29 +140,37 @@
 		return nil, err
 	}
 	defer fleet.Close()
-	d := &drainExperiment{fleet: fleet, figures: &drainFigures{}}
-	return d.execute(ctx, keys[0], graceful)
+	d := &drainExperiment{fleet: fleet, arm: arm, figures: &drainFigures{}, repeats: newRepeats(fleet, keys[0], env.Seed)}
+	return d.execute(ctx, keys[0])
 }
 
 // drainExperiment is one arm of the drain case.
 type drainExperiment struct {
 	fleet   *rig.Rig
+	arm     drainArm
 	figures *drainFigures
+	repeats *repeats
 	cut     atomic.Int64
 }
 
-func (d *drainExperiment) execute(ctx context.Context, key Key, graceful bool) (*drainFigures, error) {
+func (d *drainExperiment) execute(ctx context.Context, key Key) (*drainFigures, error) {
 	loadCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var result *load.Result
 	var group sync.WaitGroup
 	group.Go(func() { result = d.sendLoad(loadCtx, key) })
-	err := d.restartAll(ctx, graceful)
+	err := d.restartAll(ctx)
 	stop()
 	group.Wait()
 	d.figures.Requests, d.figures.Failed = result.All.Sent, result.All.Sent-result.All.OK
+	d.figures.Reasons = reasons(result)
 	d.figures.P99MS = result.All.Quantile(99).Milliseconds()
 	d.figures.Cut = d.cut.Load()
+	if err != nil {
+		return nil, err
+	}
+	d.figures.Resent, d.figures.ResentAnswered = d.repeats.sent, d.repeats.answered
+	d.figures.RunTwice, err = d.repeats.runTwice()
 	return d.figures, err
 }
 
@@ -148,21 +192,52 @@
 		}
 		resp, err := callers[number%len(callers)].Do(context.WithoutCancel(ctx), req)
 		ok := err == nil && resp.Outcome == call.Answered && resp.Status == http.StatusOK && len(resp.Body) == 2000
-		return load.Sample{OK: ok}
+		if !ok {
+			return load.Sample{Class: failureReason(resp, err)}
+		}
+		return load.Sample{OK: true}
 	}})
 }
 
-// restartAll stops and starts one VM after the other; in a run that is not
-// graceful, one of each service. In a graceful run, every third upstream
-// announces itself that it is leaving.
-func (d *drainExperiment) restartAll(ctx context.Context, graceful bool) error {
+// failureReason names why a request failed.
+func failureReason(resp *client.Response, err error) string {
+	switch {
+	case err != nil:
+		return err.Error()
+	case resp.Outcome == call.Answered:
+		return resp.Outcome.String() + " " + strconv.Itoa(resp.Status)
+	}
+	return resp.Outcome.String() + " " + resp.Reason
+}
+
+// reasons lists why requests failed, each with its count.
+func reasons(result *load.Result) string {
+	var list []string
+	for reason, class := range result.Classes {
+		if reason != "" {
+			list = append(list, fmt.Sprintf("%d %s", class.Sent, reason))
+		}
+	}
+	if len(list) == 0 {
+		return "none"
+	}
+	slices.Sort(list)
+	return strings.Join(list, "; ")
+}
+
+// restartAll stops and starts one VM after the other.
+func (d *drainExperiment) restartAll(ctx context.Context) error {
 	for i, node := range d.fleet.Nodes {
-		if !graceful && i%3 != 0 {
-			continue
+		if d.arm.restarts > 0 && i >= d.arm.restarts {
+			return nil
+		}
+		if err := d.repeats.begin(ctx, node); err != nil {
+			return err
 		}
-		if err := d.restart(ctx, node, graceful && i%3 == 1); err != nil {
+		if err := d.restart(ctx, node, d.arm.announced && i%3 == 1); err != nil {
 			return err
 		}
+		d.repeats.sendAgain(ctx, nil)
 		d.figures.Restarts++
 	}
 	return nil
@@ -199,6 +274,7 @@
 	if after > maxWorkAfterStop {
 		d.figures.LateWork++
 	}
+	d.repeats.sendAgain(ctx, node)
 	node.Upstream.Kill()
 	if err := d.fleet.StartUpstream(node); err != nil {
 		return err
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -54,6 +54,13 @@
 // KindQuarantine exchanges records about requests that crash upstreams.
 const KindQuarantine Kind = 40
 
+// Kinds of requests about the answers of nodes that stop: KindHandover passes
+// them on, KindInherited asks for one.
+const (
+	KindHandover  Kind = 41
+	KindInherited Kind = 42
+)
+
 // Kinds of requests about members and the revision stream.
 const (
 	KindProbe Kind = iota + 20
--- a/plugin/dispatch/pinned.go
+++ b/plugin/dispatch/pinned.go
@@ -50,6 +50,9 @@
 	resent bool
 	// mayHaveRun means that the pinned node may have seen the ID.
 	mayHaveRun bool
+	// askedHeirs is set once those were asked that a pin which left the fleet
+	// may have handed its answers to.
+	askedHeirs bool
 }
 
 // run pins the request to one VM after another until one takes it. Another VM
@@ -84,6 +87,9 @@
 // pin's from an unknown outcome.
 func (d *pinnedDispatch) settle(ctx context.Context) (*call.Reply, io.ReadCloser) {
 	reply, answer := d.askUntilSettled(ctx)
+	if reply.Code == call.CodePinLost {
+		reply, answer = d.inherited(ctx, reply)
+	}
 	if d.mayHaveRun && reply.Outcome == call.Refused && !reply.Settled {
 		unsure := *reply
 		unsure.Outcome = call.Unknown
@@ -132,7 +138,12 @@
 		reply.Settled = true
 		return reply, nil
 	case !known || entry.State == membership.Gone:
-		return d.unsettled(call.CodeConnectionLost, "the VM of the request is not a member"), nil
+		lost := d.unsettled(call.CodeConnectionLost, "the VM of the request is not a member")
+		if !d.mayHaveRun || d.askedHeirs {
+			return lost, nil
+		}
+		d.askedHeirs = true
+		return d.inherited(ctx, lost)
 	}
 	reply, answer := d.try(ctx, entry)
 	if reply.Outcome == call.Unknown {
@@ -141,6 +152,19 @@
 	return reply, answer
 }
 
+// inherited looks for the answer that a pin handed on before it stopped. The
+// loss of the pin is final only if everyone who may have the answer was asked.
+func (d *pinnedDispatch) inherited(ctx context.Context, lost *call.Reply) (*call.Reply, io.ReadCloser) {
+	reply, answer, reached := d.local.Inherited(ctx, &d.head, d.body)
+	switch {
+	case reply != nil:
+		return reply, answer
+	case reached:
+		return lost, nil
+	}
+	return call.Unsure(call.CodeConnectionLost, "a VM that may have the request's answer is out of reach"), nil
+}
+
 // pinned returns the entry of the pinned VM. A node that has not sent to the
 // service yet learns its VMs first.
 func (d *pinnedDispatch) pinned() (membership.Entry, bool) {
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -80,7 +80,8 @@
 	// and the end of the node's connections.
 	LeaveDelay jsonc.Duration `json:"leave_delay"`
 
-	once *once
+	once     *once
+	handover *handover
 	// active counts the requests that wait or run here.
 	active atomic.Int64
 	leftAt atomic.Pointer[time.Time]
@@ -146,6 +147,11 @@
 	}
 	m.isolation = newIsolation()
 	m.running = call.NewRegistry()
+	var members membership.Source
+	if members, err = kernel.Require[membership.Source](ctx); err != nil {
+		return err
+	}
+	m.handover = newHandover(m, fabric, members, ctx.Registry)
 	m.once = newOnce(m, fabric.Self(), ctx.Registry)
 	m.upstream = &upstreamState{
 		clock: ctx.Clock, log: ctx.Log, announcer: announcer,
--- a/plugin/inbound/leave.go
+++ b/plugin/inbound/leave.go
@@ -52,7 +52,17 @@
 		case <-m.clock.After(drainPoll):
 		}
 	}
+	m.passOn(ctx)
 	m.upstream.gone()
 	m.clock.Sleep(goneDelay)
 	return nil
 }
+
+// passOn hands the answers of requests that must run once to VMs that stay.
+func (m *Module) passOn(ctx context.Context) {
+	upstream, _ := m.upstream.current()
+	if m.Ledger.Handover.Disabled || upstream.Service == "" {
+		return
+	}
+	m.handover.passOn(ctx, upstream.Service, m.once.closed(m.Ledger.Handover.MaxBytes))
+}
--- a/plugin/inbound/ledger.go
+++ b/plugin/inbound/ledger.go
@@ -40,12 +40,15 @@
 	// MaxAnswerBytes bounds all kept answers; MaxEachBytes bounds each.
 	MaxAnswerBytes int64 `json:"max_answer_bytes"`
 	MaxEachBytes   int64 `json:"max_each_bytes"`
+	// Handover says what a planned stop passes on.
+	Handover HandoverSettings `json:"handover"`
 }
 
 func defaultLedgerSettings() LedgerSettings {
 	return LedgerSettings{
 		Validity: jsonc.Duration(defaultValidity), MaxEntries: defaultLedgerEntries,
 		MaxAnswerBytes: defaultKeptBytes, MaxEachBytes: defaultKeptEachBytes,
+		Handover: HandoverSettings{MaxBytes: defaultHandoverBytes},
 	}
 }
 
@@ -172,6 +175,13 @@
 	return kept, nil
 }
 
+// closed returns the answers that a planned stop passes on.
+func (o *once) closed(maxBytes int64) []ledger.Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ledger.Closed(maxBytes)
+}
+
 // settled returns a copy of the reply that is final for its ID.
 func settled(reply *call.Reply) *call.Reply {
 	final := *reply
