Write claims of idempotency keys through one node of each failure domain

Cause: every node wrote the claims that came to it as fast as the store answered, so that the writes grew with the nodes, and a key that was taken cost a read for each claim of its batch.

Excluded: larger batches alone (a node with few claims writes one at a time), a writer for the whole fleet (it needs a lease, and 30 ms for other regions).

Change: a node passes its claims to the first relay of its failure domain that answers; several writers do no harm, as the store creates a key once. Writers share store_writes_per_second (200) by the number of failure domains, and batches grow to 128 while they wait for their turn. The transaction that finds a key taken reads it.

Figures: none yet but those of the tests: 20 writes a second are not exceeded by 400 claims, and a batch with a taken key costs 2 writes and no read.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/mangomast/mangomast/store/etcd"
 )
 
@@ -28,6 +30,9 @@
 	// LoseAnswers applies writes but closes the connection instead of
 	// answering; one in LoseAnswers writes is hit, 0 for none.
 	LoseAnswers int `json:"lose_answers"`
+	// WritesPerSecond bounds the transactions that are done; others wait for
+	// their turn, or until their caller leaves. 0 for no bound.
+	WritesPerSecond float64 `json:"writes_per_second"`
 }
 
 // Counts are the calls that the store has seen.
@@ -54,6 +59,8 @@
 	down     chan struct{}
 	counts   Counts
 	writes   int
+	// turns paces transactions.
+	turns *rate.Limiter
 }
 
 type storeEvent struct {
@@ -74,6 +81,7 @@
 		changed:  make(chan struct{}),
 		leases:   map[int64]*storeLease{},
 		down:     make(chan struct{}),
+		turns:    rate.NewLimiter(rate.Inf, 1),
 	}
 }
 
@@ -88,6 +96,10 @@
 		s.down = make(chan struct{})
 	}
 	s.faults = f
+	s.turns.SetLimit(rate.Inf)
+	if f.WritesPerSecond > 0 {
+		s.turns.SetLimit(rate.Limit(f.WritesPerSecond))
+	}
 }
 
 // Counts returns the calls seen so far.
@@ -133,6 +145,9 @@
 	case etcd.PathRange:
 		serve(w, r, s.serveRange)
 	case etcd.PathTxn:
+		if s.turns.Wait(r.Context()) != nil {
+			panic(http.ErrAbortHandler)
+		}
 		serve(w, r, s.serveTxn)
 	case etcd.PathGrant:
 		serve(w, r, s.serveGrant)
@@ -199,7 +214,7 @@
 	s.expireLeases()
 	for _, cmp := range req.Compare {
 		if s.keys[string(cmp.Key)].ModRevision != cmp.ModRevision {
-			return etcd.TxnResponse{Header: etcd.Header{Revision: s.revision}}
+			return etcd.TxnResponse{Header: etcd.Header{Revision: s.revision}, Responses: s.readOps(req.Failure)}
 		}
 	}
 	s.revision++
@@ -211,6 +226,21 @@
 	return etcd.TxnResponse{Header: etcd.Header{Revision: s.revision}, Succeeded: true}
 }
 
+// readOps runs the reads of a transaction.
+func (s *Store) readOps(ops []etcd.RequestOp) []etcd.ResponseOp {
+	responses := make([]etcd.ResponseOp, len(ops))
+	for i, op := range ops {
+		if op.Range == nil {
+			continue
+		}
+		responses[i].Range = &etcd.RangeResponse{}
+		if kv, ok := s.keys[string(op.Range.Key)]; ok {
+			responses[i].Range.Kvs = []etcd.KeyValue{kv}
+		}
+	}
+	return responses
+}
+
 func (s *Store) apply(op etcd.RequestOp) {
 	switch {
 	case op.Put != nil:
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -51,6 +51,9 @@
 // through several nodes.
 const KindClaim Kind = 50
 
+// KindIdempotencyKey asks a writer of claims to tie a key to a request ID.
+const KindIdempotencyKey Kind = 51
+
 // KindQuarantine exchanges records about requests that crash upstreams.
 const KindQuarantine Kind = 40
 
--- a/plugin/claims/claims.go
+++ b/plugin/claims/claims.go
@@ -14,10 +14,17 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 
+	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
+	configplugin "github.com/mangomast/mangomast/plugin/config"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
+	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
 	storeplugin "github.com/mangomast/mangomast/plugin/store"
 	"github.com/mangomast/mangomast/store"
 )
@@ -29,8 +36,13 @@
 	keyPrefix        = "claims/"
 	defaultRetention = 24 * time.Hour
 	defaultRing      = 1024
-	maxBatch         = 64
-	writeTimeout     = 1500 * time.Millisecond
+	// defaultMaxBatch is the number of operations that etcd takes in one
+	// transaction.
+	defaultMaxBatch = 128
+	// defaultStoreWrites is what the store has to spare for claims, out of the
+	// several hundred writes a second that it handles.
+	defaultStoreWrites = 200
+	writeTimeout       = 1500 * time.Millisecond
 	// leaseRenewals is the number of leases made in one retention.
 	leaseRenewals = 24
 )
@@ -38,9 +50,12 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{storeplugin.ID},
+		Needs: []kernel.ID{storeplugin.ID, meshplugin.ID, membershipplugin.ID, configplugin.ID},
 		New: func() kernel.Module {
-			return &Module{Retention: jsonc.Duration(defaultRetention), Waiting: defaultRing}
+			return &Module{
+				Retention: jsonc.Duration(defaultRetention), Waiting: defaultRing,
+				MaxBatch: defaultMaxBatch, StoreWrites: defaultStoreWrites,
+			}
 		},
 	})
 }
@@ -52,6 +67,14 @@
 	Retention jsonc.Duration `json:"retention"`
 	// Waiting bounds the claims that wait for the store.
 	Waiting int `json:"waiting"`
+	// MaxBatch bounds the claims in one write.
+	MaxBatch int `json:"max_batch"`
+	// StoreWrites bounds the writes of claims of all failure domains together,
+	// in writes a second.
+	StoreWrites float64 `json:"store_writes_per_second"`
+	// Direct writes every claim from the node that it came to, at any rate;
+	// for experiments only.
+	Direct bool `json:"direct"`
 
 	clock   clockwork.Clock
 	log     log.Interface
@@ -60,10 +83,22 @@
 	ring    *kernel.Ring[*claim]
 	writes  prometheus.Counter
 	claimed *prometheus.CounterVec
+	mesh    *mesh.Mesh
+	config  config.Source
+	relays  relays
+	// pace spaces the writes of this node.
+	pace *rate.Limiter
 
 	mu      sync.Mutex
 	lease   store.LeaseID
 	renewAt time.Time
+	// avoided are the writers that did not answer, until the time.
+	avoided map[string]time.Time
+}
+
+// relays gives the relays of the own failure domain, the first one first.
+type relays interface {
+	Position() (relays []membership.Entry, rank int)
 }
 
 var (
@@ -74,12 +109,12 @@
 
 // Record says which request ID holds a key.
 type Record struct {
-	ID string
+	ID string `cbor:"1,keyasint"`
 	// Won is true if this claim created the record, so that nobody else has
 	// sent the request.
-	Won bool
+	Won bool `cbor:"2,keyasint,omitempty"`
 	// Revision is the store's revision of the record; 0 if not known.
-	Revision int64
+	Revision int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // claim is one caller's wish for a key.
@@ -102,14 +137,22 @@
 	if m.Waiting < 1 {
 		findings.Addf(prefix+"/waiting", "must be at least 1")
 	}
+	if m.MaxBatch < 1 || m.MaxBatch > defaultMaxBatch {
+		findings.Addf(prefix+"/max_batch", "must be 1 to %d", defaultMaxBatch)
+	}
+	if !(m.StoreWrites > 0) {
+		findings.Addf(prefix+"/store_writes_per_second", "must be above 0")
+	}
 }
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.store, err = kernel.Require[store.Store](ctx); err != nil {
+	var members *membershipplugin.Module
+	if err := kernel.Resolve(ctx, &m.store, &m.mesh, &m.config, &members); err != nil {
 		return err
 	}
+	m.relays, m.avoided = members, map[string]time.Time{}
+	m.pace = rate.NewLimiter(rate.Limit(m.StoreWrites), paceBurst)
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.prefix = ctx.Node.Store.Prefix + keyPrefix
 	full := prometheus.NewCounter(prometheus.CounterOpts{
@@ -126,6 +169,7 @@
 	}, []string{"result"})
 	ctx.Registry.MustRegister(full, m.writes, m.claimed)
 	m.ring = kernel.NewRing[*claim](m.Waiting, kernel.Refuse, full)
+	m.mesh.Handle(mesh.KindIdempotencyKey, mesh.Typed(m.serveClaim))
 	kernel.Provide(ctx, m)
 	return nil
 }
@@ -134,25 +178,16 @@
 // one. It blocks until the store has answered. After an error the request must
 // not be run by this claim.
 func (m *Module) Claim(ctx context.Context, organisation, key, id string) (Record, error) {
-	c := &claim{key: m.storeKey(organisation, key), id: id, done: make(chan result, 1)}
-	if err := m.ring.Push(ctx, c); err != nil {
-		m.claimed.WithLabelValues("failed").Inc()
-		return Record{}, err
-	}
-	select {
-	case r := <-c.done:
-		m.count(r)
-		return r.record, r.err
-	case <-ctx.Done():
-		return Record{}, ctx.Err()
-	}
+	record, err := m.claim(ctx, claimMessage{Key: m.storeKey(organisation, key), ID: id})
+	m.count(record, err)
+	return record, err
 }
 
-func (m *Module) count(r result) {
+func (m *Module) count(record Record, err error) {
 	switch {
-	case r.err != nil:
+	case err != nil:
 		m.claimed.WithLabelValues("failed").Inc()
-	case r.record.Won:
+	case record.Won:
 		m.claimed.WithLabelValues("won").Inc()
 	default:
 		m.claimed.WithLabelValues("found").Inc()
@@ -202,8 +237,12 @@
 	if len(listing.Records) == 0 {
 		return Record{}, errAbsent
 	}
-	found := listing.Records[0]
-	return Record{ID: string(found.Value), Won: string(found.Value) == id, Revision: found.ModRevision}, nil
+	return recordOf(listing.Records[0], id), nil
+}
+
+// recordOf reads a record for a claim of the ID.
+func recordOf(found store.Record, id string) Record {
+	return Record{ID: string(found.Value), Won: string(found.Value) == id, Revision: found.ModRevision}
 }
 
 var errAbsent = errors.New("the claim is not in the store")
--- a/plugin/claims/claims_test.go
+++ b/plugin/claims/claims_test.go
@@ -12,11 +12,14 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
+	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
 
+	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/internal/standin"
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
+	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/store/etcd"
 )
 
@@ -36,9 +39,10 @@
 		m := &Module{
 			Retention: jsonc.Duration(time.Hour), clock: clockwork.NewRealClock(), log: log.Log,
 			store: etcd.New(etcd.Options{Endpoints: []string{server.URL}}), prefix: "/claims/",
-			ring:    kernel.NewRing[*claim](100, kernel.Refuse, nil),
-			writes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "writes"}),
-			claimed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "claims"}, []string{"result"}),
+			ring:     kernel.NewRing[*claim](100, kernel.Refuse, nil),
+			writes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "writes"}),
+			claimed:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "claims"}, []string{"result"}),
+			MaxBatch: defaultMaxBatch, Direct: true,
 		}
 		group.Go(func() { _ = m.run(ctx) })
 		modules[i] = m
@@ -84,6 +88,57 @@
 	}
 }
 
+// unconfigured is a config.Source before the first snapshot.
+type unconfigured struct{ config.Source }
+
+// Snapshot implements config.Source.
+func (unconfigured) Snapshot() *config.Snapshot { return nil }
+
+// noRelays is the position of a node that is its domain's only relay.
+type noRelays struct{}
+
+// Position implements relays.
+func (noRelays) Position() ([]membership.Entry, int) { return nil, 0 }
+
+func TestWritesStayBoundedAndBatchesGrow(t *testing.T) {
+	const writesPerSecond, count = 20, 400
+	backend, modules := newTestModules(t, 1)
+	m := modules[0]
+	m.Direct, m.StoreWrites, m.pace = false, writesPerSecond, rate.NewLimiter(writesPerSecond, paceBurst)
+	m.config, m.relays = unconfigured{}, noRelays{}
+	started := time.Now()
+	var group sync.WaitGroup
+	for i := range count {
+		time.Sleep(time.Millisecond)
+		group.Go(func() {
+			record, err := m.Claim(t.Context(), "org", fmt.Sprint("key-", i), fmt.Sprint("id-", i))
+			assert.Check(t, err == nil && record.Won, "%v", err)
+		})
+	}
+	group.Wait()
+	most := paceBurst + writesPerSecond*time.Since(started).Seconds()
+	assert.Assert(t, testutil.ToFloat64(m.writes) <= most, "%g writes", testutil.ToFloat64(m.writes))
+	assert.Equal(t, len(backend.Keys("/claims/")), count)
+}
+
+func TestTakenKeysAreReadByTheWriteThatFailed(t *testing.T) {
+	backend, modules := newTestModules(t, 1)
+	_, err := modules[0].Claim(t.Context(), "org", "taken", "first")
+	assert.NilError(t, err)
+	before := backend.Counts()
+	batch := []*claim{
+		{key: modules[0].storeKey("org", "taken"), id: "second", done: make(chan result, 1)},
+		{key: modules[0].storeKey("org", "free"), id: "third", done: make(chan result, 1)},
+	}
+	modules[0].settle(t.Context(), batch)
+	taken, free := <-batch[0].done, <-batch[1].done
+	assert.Equal(t, taken.record.ID, "first")
+	assert.Assert(t, free.record.Won)
+	after := backend.Counts()
+	assert.Equal(t, after.Reads-before.Reads, int64(0))
+	assert.Equal(t, after.Writes-before.Writes, int64(2))
+}
+
 func TestClaimFailsWhileTheStoreIsOut(t *testing.T) {
 	backend, modules := newTestModules(t, 1)
 	backend.SetFaults(standin.Faults{Outage: true})
--- a/plugin/claims/write.go
+++ b/plugin/claims/write.go
@@ -22,13 +22,16 @@
 }
 
 // run writes all claims that wait in one transaction, then those that came
-// meanwhile in the next.
+// meanwhile in the next. Batches grow while it waits for its turn.
 func (m *Module) run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case first := <-m.ring.C():
+			if err := m.awaitTurn(ctx); err != nil {
+				return err
+			}
 			m.settle(ctx, m.collect(first))
 		}
 	}
@@ -36,7 +39,7 @@
 
 func (m *Module) collect(first *claim) []*claim {
 	batch := []*claim{first}
-	for len(batch) < maxBatch {
+	for len(batch) < m.MaxBatch {
 		select {
 		case next := <-m.ring.C():
 			batch = append(batch, next)
@@ -48,22 +51,30 @@
 }
 
 // settle answers every claim of a batch. A transaction creates all records or
-// none; after one that failed, the keys that are taken are read and the rest
-// is tried again.
+// none; one that fails reads the keys that are taken, and the rest is tried
+// again.
 func (m *Module) settle(ctx context.Context, batch []*claim) {
 	ctx, cancel := context.WithTimeout(ctx, maxRounds*writeTimeout)
 	defer cancel()
 	var err error
 	for round := 0; round < maxRounds && len(batch) > 0; round++ {
-		var created bool
-		if created, err = m.create(ctx, batch); created {
-			return
-		}
-		lost := errors.Is(err, store.ErrOutcomeUnknown)
-		if err != nil && !lost {
+		if round > 0 && m.awaitTurn(ctx) != nil {
 			break
 		}
-		batch = m.readAll(ctx, batch, lost)
+		var done store.TxnResult
+		done, err = m.create(ctx, batch)
+		switch {
+		case errors.Is(err, store.ErrOutcomeUnknown):
+			m.readAll(ctx, batch)
+			return
+		case err == nil && done.Succeeded:
+			answerCreated(batch, done.Revision)
+			return
+		case err == nil:
+			batch = answerTaken(batch, done.Records)
+		default:
+			round = maxRounds
+		}
 	}
 	for _, c := range batch {
 		c.done <- result{err: errors.Wrap(firstError(err, errAbsent), "claim idempotency key")}
@@ -79,10 +90,10 @@
 
 // create writes the records of all keys of the batch, if none exists. The
 // first claim of a key stands for those of the same batch.
-func (m *Module) create(ctx context.Context, batch []*claim) (bool, error) {
+func (m *Module) create(ctx context.Context, batch []*claim) (store.TxnResult, error) {
 	lease, err := m.currentLease(ctx)
 	if err != nil {
-		return false, err
+		return store.TxnResult{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -95,48 +106,54 @@
 		seen[c.key] = true
 		txn.Compares = append(txn.Compares, store.Compare{Key: c.key})
 		txn.Puts = append(txn.Puts, store.Put{Key: c.key, Value: []byte(c.id), Lease: lease})
+		txn.Reads = append(txn.Reads, c.key)
 	}
 	m.writes.Inc()
-	done, err := m.store.Commit(ctx, txn)
-	if err != nil || !done.Succeeded {
-		return false, err
-	}
+	return m.store.Commit(ctx, txn)
+}
+
+// answerCreated answers the claims of a batch whose records were created.
+func answerCreated(batch []*claim, revision int64) {
 	winner := map[string]string{}
 	for _, c := range batch {
 		if winner[c.key] == "" {
 			winner[c.key] = c.id
 		}
-		c.done <- result{record: Record{ID: winner[c.key], Won: winner[c.key] == c.id, Revision: done.Revision}}
+		c.done <- result{record: Record{ID: winner[c.key], Won: winner[c.key] == c.id, Revision: revision}}
 	}
-	return true, nil
 }
 
-// readAll answers the claims whose keys have a record and returns the others.
-// After a write whose answer was lost, a key without a record may still get
-// one, so its claim fails.
-func (m *Module) readAll(ctx context.Context, batch []*claim, lost bool) []*claim {
-	absent := make([]bool, len(batch))
+// answerTaken answers the claims whose keys have a record and returns the
+// others.
+func answerTaken(batch []*claim, records []store.Record) []*claim {
+	taken := map[string]store.Record{}
+	for _, record := range records {
+		taken[record.Key] = record
+	}
+	var rest []*claim
+	for _, c := range batch {
+		if record, ok := taken[c.key]; ok {
+			c.done <- result{record: recordOf(record, c.id)}
+			continue
+		}
+		rest = append(rest, c)
+	}
+	return rest
+}
+
+// readAll answers the claims of a batch whose write was not answered. A key
+// without a record may still get one, so its claim fails.
+func (m *Module) readAll(ctx context.Context, batch []*claim) {
 	var group errgroup.Group
 	group.SetLimit(maxReaders)
-	for i, c := range batch {
+	for _, c := range batch {
 		group.Go(func() error {
 			record, err := m.read(ctx, c.key, c.id)
-			if errors.Is(err, errAbsent) && !lost {
-				absent[i] = true
-				return nil
-			}
 			c.done <- result{record: record, err: err}
 			return nil
 		})
 	}
 	_ = group.Wait()
-	var rest []*claim
-	for i, c := range batch {
-		if absent[i] {
-			rest = append(rest, c)
-		}
-	}
-	return rest
 }
 
 // currentLease returns the lease that new records are attached to. It lasts
--- a/plugin/inbound/handover.go
+++ b/plugin/inbound/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,7 +122,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	h.mu.Lock()
-	records := append(own, h.inherited.Closed(h.settings.MaxBytes)...)
+	records := slices.Concat(own, h.inherited.Closed(h.settings.MaxBytes))
 	h.mu.Unlock()
 	var group sync.WaitGroup
 	for entry, share := range h.shares(service, records) {
--- a/store/etcd/etcd.go
+++ b/store/etcd/etcd.go
@@ -101,11 +101,23 @@
 	for _, key := range txn.Deletes {
 		req.Success = append(req.Success, RequestOp{Delete: &DeleteRequest{Key: []byte(key)}})
 	}
+	for _, key := range txn.Reads {
+		req.Failure = append(req.Failure, RequestOp{Range: &RangeRequest{Key: []byte(key)}})
+	}
 	var resp TxnResponse
 	if err := c.call(ctx, PathTxn, req, &resp); err != nil {
 		return store.TxnResult{}, err
 	}
-	return store.TxnResult{Succeeded: resp.Succeeded, Revision: resp.Header.Revision}, nil
+	result := store.TxnResult{Succeeded: resp.Succeeded, Revision: resp.Header.Revision}
+	for _, op := range resp.Responses {
+		if op.Range == nil {
+			continue
+		}
+		for _, kv := range op.Range.Kvs {
+			result.Records = append(result.Records, record(kv))
+		}
+	}
+	return result, nil
 }
 
 // Grant implements store.Store.
--- a/store/etcd/wire.go
+++ b/store/etcd/wire.go
@@ -74,18 +74,27 @@
 type RequestOp struct {
 	Put    *PutRequest    `json:"request_put,omitempty"`
 	Delete *DeleteRequest `json:"request_delete_range,omitempty"`
+	Range  *RangeRequest  `json:"request_range,omitempty"`
 }
 
-// TxnRequest runs Success if all of Compare hold.
+// ResponseOp is the result of one operation; Range is set for a read.
+type ResponseOp struct {
+	Range *RangeResponse `json:"response_range,omitempty"`
+}
+
+// TxnRequest runs Success if all of Compare hold, and Failure otherwise.
 type TxnRequest struct {
 	Compare []CompareOp `json:"compare"`
 	Success []RequestOp `json:"success"`
+	Failure []RequestOp `json:"failure,omitempty"`
 }
 
 // TxnResponse answers a TxnRequest.
 type TxnResponse struct {
 	Header    Header `json:"header"`
 	Succeeded bool   `json:"succeeded"`
+	// Responses are the results of the operations that were run.
+	Responses []ResponseOp `json:"responses,omitempty"`
 }
 
 // WatchRequest opens a watch.
--- a/store/store.go
+++ b/store/store.go
@@ -55,6 +55,8 @@
 	Compares []Compare
 	Puts     []Put
 	Deletes  []string
+	// Reads are the keys to read if some compare does not hold.
+	Reads []string
 }
 
 // TxnResult is the outcome of a Txn that was answered.
@@ -63,6 +65,8 @@
 	Succeeded bool
 	// Revision is the store's revision after the transaction.
 	Revision int64
+	// Records are those of the Reads that exist.
+	Records []Record
 }
 
 // LeaseID names a lease.
