Show quarantined requests in the console and on the command line

Cause: operators could list and lift quarantines through the API only, for one service at a time, as single records without an end.

Change: records are summed up by request (kind, crashes, VMs, since, time left); the API lists all services and names those of which no VM answered; the VMs of a service are asked at the same time and for a bounded time.

Conclusion: an operator sees and lifts a quarantine without the API.

--- a/cmd/mangomast/main.go
+++ b/cmd/mangomast/main.go
@@ -102,6 +102,9 @@
 	key := add(parser.Command, "key", "Grant and withdraw callers' keys", &struct{}{})
 	add(key, "grant", "Make a key for an organisation and show it once", &keyGrantCommand{app: a})
 	add(key, "withdraw", "Withdraw a key", &keyWithdrawCommand{app: a})
+	poison := add(parser.Command, "quarantine", "List and lift requests that crash upstreams", &struct{}{})
+	add(poison, "list", "List suspected and quarantined requests", &quarantineListCommand{app: a})
+	add(poison, "lift", "Let a quarantined request run again", &quarantineLiftCommand{app: a})
 	tokens := add(parser.Command, "operator", "Make operators' tokens", &struct{}{})
 	add(tokens, "new", "Make a token and its hash, without a node", &operatorNewCommand{app: a})
 	return parser
--- a/internal/bench/poison.go
+++ b/internal/bench/poison.go
@@ -103,11 +103,11 @@
 
 // lift lifts every quarantine through a node of another service.
 func (f *poisonFigures) lift(ctx context.Context, operators *operator.Client) error {
-	records, err := operators.Quarantine(ctx, "fares")
+	before, err := operators.Quarantine(ctx, "fares")
 	if err != nil {
 		return err
 	}
-	for _, record := range records {
+	for _, record := range before.Records {
 		if record.Kind != "quarantined" {
 			continue
 		}
@@ -116,13 +116,16 @@
 			return err
 		}
 	}
-	records, err = operators.Quarantine(ctx, "fares")
-	for _, record := range records {
+	after, err := operators.Quarantine(ctx, "fares")
+	if err != nil {
+		return err
+	}
+	for _, record := range after.Records {
 		if record.Kind == "quarantined" {
 			f.StillListed++
 		}
 	}
-	return err
+	return nil
 }
 
 // poisonExperiment is one arm of the poison case.
--- a/operator/quarantine.go
+++ b/operator/quarantine.go
@@ -6,8 +6,8 @@
 	"net/url"
 )
 
-// PathQuarantine lists by GET with the parameter service; DELETE of
-// PathQuarantine/SERVICE/FINGERPRINT lifts a quarantine.
+// PathQuarantine lists by GET, with the parameter service for one service
+// only; DELETE of PathQuarantine/SERVICE/FINGERPRINT lifts a quarantine.
 const PathQuarantine = "/api/quarantine"
 
 // QuarantineRecord is a request that is suspected of crashing upstreams, or
@@ -16,12 +16,24 @@
 	// Fingerprint names the request's contents, in hexadecimal.
 	Fingerprint string `json:"fingerprint"`
 	// Kind is "suspect" or "quarantined".
-	Kind string `json:"kind"`
-	// VM is where the upstream crashed.
-	VM           string  `json:"vm"`
-	Organisation string  `json:"organisation"`
-	Route        string  `json:"route"`
-	AgeSeconds   float64 `json:"age_seconds"`
+	Kind         string `json:"kind"`
+	Service      string `json:"service"`
+	Organisation string `json:"organisation"`
+	Route        string `json:"route"`
+	// Crashes is the number of its runs in which an upstream crashed, on VMs.
+	Crashes int      `json:"crashes"`
+	VMs     []string `json:"vms"`
+	// SinceSeconds is how long ago the first crash was; LeftSeconds is how
+	// long the suspicion or quarantine still lasts.
+	SinceSeconds float64 `json:"since_seconds"`
+	LeftSeconds  float64 `json:"left_seconds"`
+}
+
+// QuarantineAnswer answers GET of PathQuarantine.
+type QuarantineAnswer struct {
+	Records []QuarantineRecord `json:"records"`
+	// Unheard names the services of which no VM answered.
+	Unheard []string `json:"unheard,omitempty"`
 }
 
 // LiftAnswer answers DELETE of PathQuarantine.
@@ -29,11 +41,12 @@
 	Fingerprint string `json:"fingerprint"`
 }
 
-// Quarantine lists the suspects and quarantined requests of a service.
-func (c *Client) Quarantine(ctx context.Context, service string) ([]QuarantineRecord, error) {
-	var records []QuarantineRecord
+// Quarantine lists the suspects and quarantined requests of a service, or of
+// all services if it is empty.
+func (c *Client) Quarantine(ctx context.Context, service string) (*QuarantineAnswer, error) {
+	answer := &QuarantineAnswer{}
 	path := PathQuarantine + "?" + url.Values{"service": {service}}.Encode()
-	return records, c.call(ctx, http.MethodGet, path, nil, &records)
+	return answer, c.call(ctx, http.MethodGet, path, nil, answer)
 }
 
 // LiftQuarantine lets the requests with the fingerprint run again.
--- a/plugin/console/console.go
+++ b/plugin/console/console.go
@@ -95,6 +95,8 @@
 	pages.GET("/progress", m.showProgress)
 	pages.GET("/history", m.showHistory)
 	pages.POST("/undo", m.undo)
+	pages.GET("/quarantine", m.showQuarantine)
+	pages.POST("/quarantine/lift", m.liftQuarantine)
 	pages.POST("/keys", m.grantKey)
 }
 
--- a/plugin/console/console_test.go
+++ b/plugin/console/console_test.go
@@ -164,3 +164,18 @@
 	status, _ = b.post("/undo", url.Values{"number": {"1"}})
 	assert.Equal(t, status, http.StatusForbidden)
 }
+
+func TestQuarantineIsListedAndLiftedFromThePageOnly(t *testing.T) {
+	base, token := startConsole(t)
+	b := newBrowser(t, base)
+	b.signIn(token)
+	status, body := b.get("/quarantine")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, strings.Contains(body, "No request is suspected or quarantined."), body)
+	lift := url.Values{"service": {"fares"}, "fingerprint": {strings.Repeat("0f", 16)}}
+	status, _ = b.post("/quarantine/lift", lift)
+	assert.Equal(t, status, http.StatusForbidden)
+	lift.Set("csrf", fields(body, `action="/logout`).Get("csrf"))
+	_, body = b.post("/quarantine/lift", lift)
+	assert.Assert(t, strings.Contains(body, "no such suspect or quarantine"), body)
+}
--- /dev/null
+++ b/plugin/console/quarantine.go
@@ -0,0 +1,54 @@
+package console
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/mangomast/mangomast/operator"
+)
+
+// quarantineContent is the content of the page of requests that crash
+// upstreams.
+type quarantineContent struct {
+	Rows []quarantineRow
+	// Unheard names the services of which no VM answered.
+	Unheard []string
+}
+
+// quarantineRow is a suspected or quarantined request with its times.
+type quarantineRow struct {
+	operator.QuarantineRecord
+	Since, Until string
+}
+
+// newQuarantineContent turns ages into times of day at the time now.
+func newQuarantineContent(answer *operator.QuarantineAnswer, now time.Time) quarantineContent {
+	content := quarantineContent{Unheard: answer.Unheard}
+	for _, record := range answer.Records {
+		content.Rows = append(content.Rows, quarantineRow{
+			QuarantineRecord: record,
+			Since:            clockTime(now, -record.SinceSeconds),
+			Until:            clockTime(now, record.LeftSeconds),
+		})
+	}
+	return content
+}
+
+func clockTime(now time.Time, seconds float64) string {
+	return now.Add(time.Duration(seconds * float64(time.Second))).UTC().Format("15:04:05 UTC")
+}
+
+func (m *Module) showQuarantine(c echo.Context) error {
+	answer := m.service.Quarantine(c.Request().Context(), "")
+	return m.render(c, http.StatusOK, "quarantine.html", "Quarantine", newQuarantineContent(answer, m.clock.Now()))
+}
+
+func (m *Module) liftQuarantine(c echo.Context) error {
+	err := m.service.LiftQuarantine(c.Request().Context(), c.FormValue("service"), c.FormValue("fingerprint"), sessionOf(c).operator)
+	if err != nil {
+		return m.refuse(c, err)
+	}
+	return c.Redirect(http.StatusSeeOther, "/quarantine")
+}
--- a/plugin/operator/operator.go
+++ b/plugin/operator/operator.go
@@ -48,9 +48,8 @@
 	// first operator stands here.
 	Operators []config.Operator `json:"operators"`
 
-	service    *Service
-	quarantine *quarantineplugin.Module
-	log        log.Interface
+	service *Service
+	log     log.Interface
 }
 
 var (
@@ -73,8 +72,8 @@
 	if err != nil {
 		return err
 	}
-	service := &Service{static: m.Operators}
-	if err = kernel.Resolve(ctx, &service.config, &service.stream, &service.fleet); err != nil {
+	service := &Service{static: m.Operators, log: ctx.Log}
+	if err = kernel.Resolve(ctx, &service.config, &service.stream, &service.fleet, &service.quarantine); err != nil {
 		return err
 	}
 	backend, err := kernel.Require[store.Store](ctx)
@@ -82,9 +81,6 @@
 		return err
 	}
 	service.Editor = edit.NewEditor(backend, ctx.Node.Store.Prefix, ctx.Clock)
-	if m.quarantine, err = kernel.Require[*quarantineplugin.Module](ctx); err != nil {
-		return err
-	}
 	m.service, m.log = service, ctx.Log
 	kernel.Provide(ctx, service)
 	m.register(e)
@@ -98,6 +94,9 @@
 	config config.Source
 	stream config.Progress
 	fleet  membership.Directory
+	// quarantine knows the requests that crash upstreams.
+	quarantine *quarantineplugin.Module
+	log        log.Interface
 }
 
 // Authenticate returns the operator whose token has the hash.
--- a/plugin/operator/quarantine.go
+++ b/plugin/operator/quarantine.go
@@ -1,13 +1,28 @@
 package operator
 
 import (
+	"cmp"
+	"context"
 	"encoding/hex"
 	"net/http"
+	"slices"
+	"sync"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/mangomast/mangomast/ledger"
 	"github.com/mangomast/mangomast/operator"
+	"github.com/mangomast/mangomast/quarantine"
+)
+
+// servicesAtATime bounds the services that are asked at a time.
+const servicesAtATime = 8
+
+var (
+	errFingerprint = errors.New("the fingerprint must be 32 hexadecimal digits")
+	errNoSuch      = errors.New("the service has no such suspect or quarantine; list them again")
 )
 
 // registerQuarantine adds the pages about requests that crash upstreams.
@@ -17,34 +32,96 @@
 }
 
 func (m *Module) serveQuarantine(c echo.Context) error {
-	records, err := m.quarantine.List(c.Request().Context(), c.QueryParam("service"))
-	if err != nil {
-		return c.JSON(http.StatusBadGateway, operator.Problem{Message: err.Error()})
+	return c.JSON(http.StatusOK, m.service.Quarantine(c.Request().Context(), c.QueryParam("service")))
+}
+
+func (m *Module) serveLift(c echo.Context) error {
+	service, fingerprint := c.Param("service"), c.Param("fingerprint")
+	err := m.service.LiftQuarantine(c.Request().Context(), service, fingerprint, author(c))
+	status := http.StatusBadGateway
+	switch {
+	case err == nil:
+		return c.JSON(http.StatusOK, operator.LiftAnswer{Fingerprint: fingerprint})
+	case errors.Is(err, errFingerprint):
+		status = http.StatusBadRequest
+	case errors.Is(err, errNoSuch):
+		status = http.StatusNotFound
+	}
+	return c.JSON(status, operator.Problem{Message: err.Error()})
+}
+
+// Quarantine lists the suspected and quarantined requests of a service, or of
+// every service of the document if it is empty. It blocks until the VMs have
+// answered or a short timeout.
+func (s *Service) Quarantine(ctx context.Context, service string) *operator.QuarantineAnswer {
+	services := []string{service}
+	if service == "" {
+		services = s.services()
 	}
-	list := make([]operator.QuarantineRecord, 0, len(records))
-	for _, r := range records {
-		list = append(list, operator.QuarantineRecord{
-			Fingerprint: hex.EncodeToString(r.Fingerprint[:]), Kind: r.Kind.String(), VM: r.ID.VM,
-			Organisation: r.Organisation, Route: r.Route, AgeSeconds: r.Age.Seconds(),
+	answer := &operator.QuarantineAnswer{Records: []operator.QuarantineRecord{}}
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(servicesAtATime)
+	for _, name := range services {
+		group.Go(func() error {
+			list, err := s.quarantine.List(ctx, name)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				answer.Unheard = append(answer.Unheard, name)
+			}
+			for i := range list {
+				answer.Records = append(answer.Records, quarantineRecord(name, &list[i]))
+			}
+			return nil
 		})
 	}
-	return c.JSON(http.StatusOK, list)
+	_ = group.Wait()
+	slices.Sort(answer.Unheard)
+	slices.SortStableFunc(answer.Records, func(a, b operator.QuarantineRecord) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.SinceSeconds, b.SinceSeconds))
+	})
+	return answer
 }
 
-func (m *Module) serveLift(c echo.Context) error {
+// services returns the services of the document.
+func (s *Service) services() []string {
+	snapshot := s.config.Snapshot()
+	if snapshot == nil {
+		return nil
+	}
+	var names []string
+	for _, service := range snapshot.Document.Services {
+		names = append(names, service.ID)
+	}
+	return names
+}
+
+func quarantineRecord(service string, summary *quarantine.Summary) operator.QuarantineRecord {
+	return operator.QuarantineRecord{
+		Fingerprint: hex.EncodeToString(summary.Fingerprint[:]), Kind: summary.Kind.String(),
+		Service: service, Organisation: summary.Organisation, Route: summary.Route,
+		Crashes: summary.Crashes, VMs: summary.VMs,
+		SinceSeconds: summary.Since.Seconds(), LeftSeconds: summary.Left.Seconds(),
+	}
+}
+
+// LiftQuarantine lets the requests with the fingerprint, in hexadecimal, run
+// again. The author is noted in the log.
+func (s *Service) LiftQuarantine(ctx context.Context, service, text, author string) error {
 	var fingerprint ledger.Fingerprint
-	raw, err := hex.DecodeString(c.Param("fingerprint"))
+	raw, err := hex.DecodeString(text)
 	if err != nil || len(raw) != len(fingerprint) {
-		return c.JSON(http.StatusBadRequest, operator.Problem{Message: "the fingerprint must be 32 hexadecimal digits"})
+		return errFingerprint
 	}
 	copy(fingerprint[:], raw)
-	lifted, err := m.quarantine.Lift(c.Request().Context(), c.Param("service"), fingerprint)
+	lifted, err := s.quarantine.Lift(ctx, service, fingerprint)
 	if err != nil {
-		return c.JSON(http.StatusBadGateway, operator.Problem{Message: err.Error()})
+		return err
 	}
 	if !lifted {
-		return c.JSON(http.StatusNotFound, operator.Problem{Message: "the service has no such suspect or quarantine"})
+		return errNoSuch
 	}
-	m.log.WithField("operator", author(c)).WithField("fingerprint", c.Param("fingerprint")).Info("quarantine was lifted")
-	return c.JSON(http.StatusOK, operator.LiftAnswer{Fingerprint: c.Param("fingerprint")})
+	s.log.WithField("operator", author).WithField("service", service).WithField("fingerprint", text).Info("quarantine was lifted")
+	return nil
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -205,12 +205,14 @@
 	return records
 }
 
-func (t *Table) over(h *held, now time.Time) bool {
-	length := t.opts.SuspectFor
+func (t *Table) over(h *held, now time.Time) bool { return now.Sub(h.seen) >= t.length(h) }
+
+// length returns how long a record holds.
+func (t *Table) length(h *held) time.Duration {
 	if h.record.Kind == Quarantined {
-		length = t.opts.QuarantineFor
+		return t.opts.QuarantineFor
 	}
-	return now.Sub(h.seen) >= length
+	return t.opts.SuspectFor
 }
 
 // expire drops the records that are over, and the oldest above the bound.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -76,3 +76,17 @@
 	assert.Equal(t, Judge(!alone, crashed, !answered), FoundSuspect)
 	assert.Equal(t, Judge(alone, crashed, !answered), FoundGuilty)
 }
+
+func TestSummaryCountsWhatIsInEffect(t *testing.T) {
+	table := newTestTable()
+	table.Merge([]Record{record(1, poison, Suspect)}, start)
+	table.Merge([]Record{record(2, poison, Quarantined)}, start.Add(10*time.Second))
+	summaries := table.Summaries(start.Add(20 * time.Second))
+	assert.Equal(t, len(summaries), 1)
+	assert.DeepEqual(t, summaries[0], Summary{
+		Fingerprint: poison, Kind: Quarantined, Crashes: 2, VMs: []string{"a"},
+		Since: 20 * time.Second, Left: 110 * time.Second,
+	})
+	table.Lift(poison)
+	assert.Equal(t, len(table.Summaries(start.Add(20*time.Second))), 0)
+}
