Show what path and answers would see with their promises off

Cause: the cases path and answers had no run with key scrubbing, the key check or the integrity check off, so nothing showed that they would notice a fault; the demo, silent and most of answers sent requests past the client package.

Change: the ingress has settings for experiments (keys left in requests, keys unchecked, answers without length whose breaks are ignored). path runs with both key checks off first and sends requests with unknown keys; answers runs with the integrity check off. answers measures small answers at 75/s for 4 s in place of 50/s for 6 s and skips what it threw away. The demo, silent and answers use the client package; path and the integrity run place keys and compare bytes themselves.

--- a/internal/bench/answers.go
+++ b/internal/bench/answers.go
@@ -33,8 +33,9 @@
 	answerTime     = 8 * time.Second
 	freezeMax      = 900 * time.Millisecond
 	reorderDelay   = 30 * time.Millisecond
-	smallRate      = 50
-	smallTime      = 6 * time.Second
+	answerOffTime  = 5 * time.Second
+	smallRate      = 75
+	smallTime      = 4 * time.Second
 	warmTime       = 1 * time.Second
 	smallBytes     = 1000
 	bulkBytes      = 5 << 20
@@ -57,6 +58,10 @@
 	// Wrong answers had a success status and other contents than were sent.
 	Wrong  int `json:"wrong"`
 	Faults int `json:"faults"`
+	// UncheckedWrong of UncheckedAnswers were wrong with length and breaks
+	// ignored.
+	UncheckedAnswers int `json:"unchecked_answers"`
+	UncheckedWrong   int `json:"unchecked_wrong"`
 	// Small answers over the cross-region link, without and beside a download,
 	// with one connection for everything and with several.
 	AloneP99MS  float64 `json:"alone_p99_ms"`
@@ -69,25 +74,25 @@
 }
 
 func runAnswers(ctx context.Context, env *Env) (*Report, error) {
-	f := &answerFigures{}
-	if err := f.integrity(ctx, env); err != nil {
+	unchecked := map[string]json.RawMessage{"ingress": json.RawMessage(`{"experiments": {"unchecked_answers": true}}`)}
+	off := &answerFigures{}
+	if err := off.integrity(ctx, env, unchecked, answerOffTime); err != nil {
 		return nil, err
 	}
-	shared := map[string]json.RawMessage{"mesh": json.RawMessage(`{"shared_connection": true}`)}
-	var err error
-	if _, f.SharedP99MS, _, err = besideDownload(ctx, shared); err != nil {
+	f := &answerFigures{UncheckedAnswers: off.Answers, UncheckedWrong: off.Wrong}
+	if err := f.integrity(ctx, env, nil, answerTime); err != nil {
 		return nil, err
 	}
-	if f.AloneP99MS, f.BesideP99MS, f.ParallelBroken, err = besideDownload(ctx, nil); err != nil {
+	if err := f.besideDownloads(ctx); err != nil {
 		return nil, err
 	}
-	f.Slowdown = f.BesideP99MS / f.AloneP99MS
 	return &Report{
-		Holds:   f.Wrong == 0 && f.Whole > 0 && f.ParallelBroken == 0 && f.Slowdown <= maxSlowdown && f.SharedP99MS > maxSlowdown*f.AloneP99MS,
+		Holds:   off.Wrong > 0 && f.Wrong == 0 && f.Whole > 0 && f.ParallelBroken == 0 && f.Slowdown <= maxSlowdown && f.SharedP99MS > maxSlowdown*f.AloneP99MS,
 		Figures: f,
-		Header:  []string{"answers", "whole", "broken", "wrong", "faults", "p99 alone ms", "beside, one connection", "beside", "slowdown", "parallel, broken"},
+		Header:  []string{"answers", "whole", "broken", "wrong", "faults", "answers, unchecked", "wrong", "p99 alone ms", "beside, one connection", "beside", "slowdown", "parallel, broken"},
 		Rows: [][]string{{
 			fmt.Sprint(f.Answers), fmt.Sprint(f.Whole), fmt.Sprint(f.Broken), fmt.Sprint(f.Wrong), fmt.Sprint(f.Faults),
+			fmt.Sprint(f.UncheckedAnswers), fmt.Sprint(f.UncheckedWrong),
 			fmt.Sprintf("%.1f", f.AloneP99MS), fmt.Sprintf("%.1f", f.SharedP99MS), fmt.Sprintf("%.1f", f.BesideP99MS), fmt.Sprintf("%.2f", f.Slowdown), fmt.Sprint(f.ParallelBroken),
 		}},
 	}, nil
@@ -113,13 +118,13 @@
 
 // integrity compares every answer that came with a success status with what
 // the upstream sent, while connections freeze, lag and go silent.
-func (f *answerFigures) integrity(ctx context.Context, env *Env) error {
-	fleet, key, err := answerFleet(ctx, nil)
+func (f *answerFigures) integrity(ctx context.Context, env *Env, modules map[string]json.RawMessage, length time.Duration) error {
+	fleet, key, err := answerFleet(ctx, modules)
 	if err != nil {
 		return err
 	}
 	defer fleet.Close()
-	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	ctx, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	var mu sync.Mutex
 	var group sync.WaitGroup
@@ -198,15 +203,36 @@
 	return whole, !whole
 }
 
-// besideDownload returns the p99 of small answers over the cross-region link,
-// in milliseconds, first alone and then beside a download. Then it counts how
-// many of several downloads at once break.
-func besideDownload(ctx context.Context, modules map[string]json.RawMessage) (alone, beside float64, broken int, err error) {
+// besideDownloads times small answers over the cross-region link, alone and
+// beside a download, with one connection for everything and with several. Then
+// it counts how many of several downloads at once break.
+func (f *answerFigures) besideDownloads(ctx context.Context) error {
+	shared := map[string]json.RawMessage{"mesh": json.RawMessage(`{"shared_connection": true}`)}
+	one, key, err := linkedFleet(ctx, shared)
+	if err != nil {
+		return err
+	}
+	f.SharedP99MS = besideDownload(ctx, one.Nodes[0], key)
+	one.Close()
+	several, key, err := linkedFleet(ctx, nil)
+	if err != nil {
+		return err
+	}
+	defer several.Close()
+	f.AloneP99MS = smallP99(ctx, several.Nodes[0], key, smallTime)
+	f.BesideP99MS = besideDownload(ctx, several.Nodes[0], key)
+	f.Slowdown = f.BesideP99MS / f.AloneP99MS
+	f.ParallelBroken = parallelDownloads(ctx, several.Nodes[0], key)
+	return nil
+}
+
+// linkedFleet is an answerFleet with the cross-region link between its nodes,
+// after some requests that open its connections.
+func linkedFleet(ctx context.Context, modules map[string]json.RawMessage) (*rig.Rig, Key, error) {
 	fleet, key, err := answerFleet(ctx, modules)
 	if err != nil {
-		return 0, 0, 0, err
+		return nil, key, err
 	}
-	defer fleet.Close()
 	// One limiter is shared by both directions of all connections of the link.
 	limit := rate.NewLimiter(crossLinkBytes, crossLinkBurst)
 	fleet.Network.SetRule(func(source, listener string) rig.Faults {
@@ -216,19 +242,25 @@
 		return rig.Faults{}
 	})
 	smallP99(ctx, fleet.Nodes[0], key, warmTime)
-	alone = smallP99(ctx, fleet.Nodes[0], key, smallTime)
+	return fleet, key, nil
+}
+
+// besideDownload returns the p99 of small answers beside a download, in
+// milliseconds.
+func besideDownload(ctx context.Context, node *rig.Node, key Key) float64 {
 	downloads, stop := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	group.Go(func() {
-		caller := newCaller(time.Minute)
+		c := client.New(client.Options{Addresses: []string{node.Callers}, Key: key.Secret, TryTimeout: time.Minute})
+		req := &client.Request{Method: http.MethodGet, Target: fmt.Sprintf("/fares/model?bytes=%d", bulkBytes), Idempotent: true}
 		for downloads.Err() == nil {
-			_ = get(downloads, caller, fmt.Sprintf("http://%s/fares/model?bytes=%d", fleet.Nodes[0].Callers, bulkBytes), key)
+			_, _ = c.Send(downloads, req, "")
 		}
 	})
-	beside = smallP99(ctx, fleet.Nodes[0], key, smallTime)
+	beside := smallP99(ctx, node, key, smallTime)
 	stop()
 	group.Wait()
-	return alone, beside, parallelDownloads(ctx, fleet.Nodes[0], key), nil
+	return beside
 }
 
 // parallelDownloads counts the downloads that were taken and did not arrive
@@ -251,11 +283,13 @@
 	return int(broken.Load())
 }
 
+// smallP99 returns the p99 of small answers in milliseconds.
 func smallP99(ctx context.Context, node *rig.Node, key Key, length time.Duration) float64 {
-	caller := newCaller(10 * time.Second)
-	target := fmt.Sprintf("http://%s/fares/quote?bytes=%d", node.Callers, smallBytes)
+	c := client.New(client.Options{Addresses: []string{node.Callers}, Key: key.Secret})
+	req := &client.Request{Method: http.MethodGet, Target: fmt.Sprintf("/fares/quote?bytes=%d", smallBytes), Idempotent: true}
 	result := load.Run(ctx, load.Options{Rate: smallRate, Duration: length, Do: func(ctx context.Context, _ int) load.Sample {
-		return load.Sample{OK: get(ctx, caller, target, key) == nil}
+		resp, err := c.Send(ctx, req, "")
+		return load.Sample{OK: err == nil && resp.Status == http.StatusOK}
 	}})
-	return float64(result.All.Quantile(99).Microseconds()) / 1000
+	return milliseconds(result.All.Quantile(99))
 }
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -26,6 +27,8 @@
 	Requests int `json:"requests"`
 	Whole    int `json:"whole"`
 	KeysSeen int `json:"keys_seen"`
+	// StrangerRuns counts runs of requests whose key nobody was given.
+	StrangerRuns int `json:"stranger_runs"`
 	// ChainRuns counts runs at the three services.
 	ChainRuns []int `json:"chain_runs"`
 }
@@ -40,17 +43,49 @@
 	return append(append(dispatch, fares...), ledger...)
 }
 
+// pathOff leaves keys in requests and takes any key.
+const pathOff = `{"experiments": {"keep_keys": true, "unchecked_keys": true}}`
+
 func runPath(ctx context.Context, env *Env) (*Report, error) {
+	off, _, err := pathRun(ctx, pathOff, []int{0})
+	if err != nil {
+		return nil, err
+	}
+	on, rows, err := pathRun(ctx, `{}`, []int{0, 16 << 10, 5 << 20})
+	if err != nil {
+		return nil, err
+	}
+	rows = append(rows,
+		[]string{"keys at upstreams", fmt.Sprint(on.Requests), fmt.Sprint(on.KeysSeen), fmt.Sprintf("%d with the key left in", off.KeysSeen)},
+		[]string{"runs without a known key", fmt.Sprint(strangers), fmt.Sprint(on.StrangerRuns), fmt.Sprintf("%d with keys unchecked", off.StrangerRuns)})
+	return &Report{
+		Holds:   on.holds() && off.KeysSeen > 0 && off.StrangerRuns > 0,
+		Figures: on,
+		Header:  []string{"answer bytes", "requests", "whole", "first error"},
+		Rows:    rows,
+	}, nil
+}
+
+func (f *pathFigures) holds() bool {
+	chained := len(f.ChainRuns) == 3 && f.ChainRuns[1] >= f.Requests && f.ChainRuns[2] >= f.Requests
+	return f.Whole == f.Requests && f.KeysSeen == 0 && f.StrangerRuns == 0 && chained
+}
+
+// pathRun sends requests for answers of the sizes to a fleet of its own.
+func pathRun(ctx context.Context, ingress string, sizes []int) (*pathFigures, [][]string, error) {
 	doc := &config.Document{}
 	keys := NewOrganisations(doc, 2, 1000, 1000)
 	for _, service := range []string{"dispatch", "fares", "ledger"} {
 		AddService(doc, service, func(r *config.Route) { r.Deadline = jsonc.Duration(30 * time.Second) })
 	}
 	nodes := chainFleet()
+	for i := range nodes {
+		nodes[i].Modules = map[string]json.RawMessage{"ingress": json.RawMessage(ingress)}
+	}
 	AddDomains(doc, nodes)
 	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer fleet.Close()
 	fleet.Network.SetRule(func(source, listener string) rig.Faults {
@@ -60,21 +95,44 @@
 		return rig.Faults{}
 	})
 	figures := &pathFigures{}
-	report := &Report{Figures: figures, Header: []string{"answer bytes", "requests", "whole", "first error"}}
-	for _, size := range []int{0, 16 << 10, 5 << 20} {
+	var rows [][]string
+	for _, size := range sizes {
 		whole, first := pathRequests(ctx, fleet, keys, size)
 		figures.Requests += requestsPerSize
 		figures.Whole += whole
-		report.Rows = append(report.Rows, []string{fmt.Sprint(size), fmt.Sprint(requestsPerSize), fmt.Sprint(whole), fmt.Sprint(first)})
+		rows = append(rows, []string{fmt.Sprint(size), fmt.Sprint(requestsPerSize), fmt.Sprint(whole), fmt.Sprint(first)})
 	}
 	if err := pathReports(ctx, fleet, figures); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	chained := len(figures.ChainRuns) == 3 && figures.ChainRuns[1] >= figures.Requests && figures.ChainRuns[2] >= figures.Requests
-	report.Holds = figures.Whole == figures.Requests && figures.KeysSeen == 0 && chained
-	return report, nil
+	figures.StrangerRuns, err = pathStrangers(ctx, fleet)
+	return figures, rows, err
 }
 
+// strangers is the number of requests with a key that nobody was given.
+const strangers = 12
+
+// pathStrangers sends requests with unknown keys and counts their runs.
+func pathStrangers(ctx context.Context, fleet *rig.Rig) (int, error) {
+	caller := newCaller(10 * time.Second)
+	for i := range strangers {
+		node := fleet.Nodes[i%len(fleet.Nodes)]
+		// Only the run counts, and refusals are errors.
+		_ = pathRequest(ctx, caller, node, Key{Secret: config.NewKey()}, i, strangerBytes)
+	}
+	runs, err := fleet.Runs("dispatch")
+	total := 0
+	for i := range strangers {
+		total += runs[pathTestID(strangerBytes, i)]
+	}
+	return total, err
+}
+
+// strangerBytes tells strangers' requests from the others.
+const strangerBytes = 77
+
+func pathTestID(size, number int) string { return fmt.Sprintf("path-%d-%d", size, number) }
+
 const requestsPerSize = 20
 
 func pathRequests(ctx context.Context, fleet *rig.Rig, keys []Key, size int) (whole int, first error) {
@@ -93,7 +151,7 @@
 
 // pathRequest puts the key in one of the four places and checks each byte.
 func pathRequest(ctx context.Context, client *http.Client, node *rig.Node, key Key, number, size int) error {
-	id := fmt.Sprintf("path-%d-%d", size, number)
+	id := pathTestID(size, number)
 	target := fmt.Sprintf("http://%s/dispatch/next?bytes=%d", node.CallersProxy, size)
 	if number%4 == 2 {
 		target += "&mangomast_key=" + key.Secret
--- a/internal/bench/silent.go
+++ b/internal/bench/silent.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/mangomast/mangomast/client"
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/internal/load"
 	"github.com/mangomast/mangomast/internal/rig"
@@ -114,17 +114,20 @@
 
 // send sends requests to all nodes in turn, each once, and times them all.
 func (f *silentFigures) send(ctx context.Context, fleet *rig.Rig, key Key) {
-	caller := newCaller(10 * time.Second)
+	callers := make([]*client.Client, len(fleet.Nodes))
+	for i, node := range fleet.Nodes {
+		callers[i] = client.New(client.Options{Addresses: []string{node.Callers}, Key: key.Secret})
+	}
 	result := load.Run(ctx, load.Options{Rate: silentRate, Duration: (silentTimes + 1) * silentEvery, Do: func(ctx context.Context, number int) load.Sample {
-		node := fleet.Nodes[number%len(fleet.Nodes)]
-		method, path := http.MethodGet, "/fares/quote"
+		req := &client.Request{Method: http.MethodGet, Target: "/fares/quote?bytes=500", Idempotent: true}
 		if number%2 == 0 {
-			method, path = http.MethodPost, "/charge/fare"
+			req = &client.Request{Method: http.MethodPost, Target: "/charge/fare?bytes=500"}
 		}
 		started := time.Now()
-		err := exchange(ctx, caller, method, "http://"+node.Callers+path+"?bytes=500", key)
-		f.observe(started, method == http.MethodPost, err)
-		return load.Sample{OK: err == nil}
+		resp, err := callers[number%len(callers)].Send(ctx, req, "")
+		ok := err == nil && resp.Status == http.StatusOK
+		f.observe(started, !req.Idempotent, ok)
+		return load.Sample{OK: ok}
 	}})
 	f.Requests, f.Failed = result.All.Sent, result.All.Sent-result.All.OK
 	f.P99MS = result.All.Quantile(99).Milliseconds()
@@ -136,7 +139,7 @@
 	f.silencedAt = time.Now()
 }
 
-func (f *silentFigures) observe(started time.Time, pinned bool, err error) {
+func (f *silentFigures) observe(started time.Time, pinned, ok bool) {
 	took := time.Since(started)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -144,7 +147,7 @@
 	if took > maxSilentWait {
 		f.Slow++
 	}
-	if err == nil {
+	if ok {
 		return
 	}
 	if pinned {
@@ -154,22 +157,3 @@
 		f.LateFailed++
 	}
 }
-
-// exchange sends a request with a key and reads the whole answer.
-func exchange(ctx context.Context, caller *http.Client, method, target string, key Key) error {
-	req, err := http.NewRequestWithContext(ctx, method, target, http.NoBody)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+key.Secret)
-	resp, err := caller.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("status %s: %.200s", resp.Status, body)
-	}
-	return err
-}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,6 +15,8 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/client"
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/edit"
 	"github.com/mangomast/mangomast/internal/freeport"
@@ -228,15 +230,22 @@
 	_, _ = fmt.Fprintf(f.out, "or:      go run ./cmd/mangomast status --node http://%s --token %s\n", f.nodes[0].Listen.Admin, f.token)
 }
 
-// call sends requests through the nodes in turn and reports what came back.
+// call sends requests through all nodes and reports what came back.
 func (f *fleet) call(ctx context.Context) error {
 	const pause = 10 * time.Millisecond
-	client := &http.Client{Timeout: 5 * time.Second}
+	var addresses []string
+	for _, n := range f.nodes {
+		addresses = append(addresses, n.Listen.Callers)
+	}
+	callers := make([]*client.Client, len(f.keys))
+	for i, key := range f.keys {
+		callers[i] = client.New(client.Options{Addresses: addresses, Key: key})
+	}
 	outcomes := [2]int{}
 	report := time.NewTicker(reportEvery)
 	defer report.Stop()
 	for number := 0; ; number++ {
-		if f.callOnce(ctx, client, number) == nil {
+		if answered(ctx, callers[number%len(callers)], number) {
 			outcomes[0]++
 		} else {
 			outcomes[1]++
@@ -251,24 +260,11 @@
 	}
 }
 
-func (f *fleet) callOnce(ctx context.Context, client *http.Client, number int) error {
-	n := f.nodes[number%len(f.nodes)]
-	target := "http://" + n.Listen.Callers + "/" + places[number%2*2].service + "/demo?bytes=200"
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+f.keys[number%len(f.keys)])
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return errors.New(resp.Status)
+// answered sends one request and reports whether it succeeded.
+func answered(ctx context.Context, caller *client.Client, number int) bool {
+	req := &client.Request{
+		Method: http.MethodGet, Target: "/" + places[number%2*2].service + "/demo?bytes=200", Idempotent: true,
 	}
-	return nil
+	resp, err := caller.Do(ctx, req)
+	return err == nil && resp.Outcome == call.Answered && resp.Status == http.StatusOK
 }
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -57,6 +57,8 @@
 	// LeaveGrace is how long callers with open connections are still served
 	// and told to go elsewhere, before a planned stop closes the connections.
 	LeaveGrace jsonc.Duration `json:"leave_grace"`
+	// Experiments switch promises off; for the bench only.
+	Experiments Experiments `json:"experiments"`
 
 	clock      clockwork.Clock
 	log        log.Interface
@@ -164,12 +166,13 @@
 	fillHead(r, req)
 	reply, answer := m.dispatchClaimed(r, req, body)
 	m.learn(req, reply)
+	reply, answer = m.Experiments.answer(reply, answer)
 	return writeReply(c, req, reply, answer)
 }
 
 // authenticate takes the key off the request and finds its organisation.
 func (m *Module) authenticate(r *http.Request, req *request) *call.Reply {
-	key, ok := takeKey(r)
+	key, ok := m.Experiments.key(r)
 	req.snapshot = m.config.Snapshot()
 	if req.snapshot == nil {
 		return call.Refuse(call.CodeStaleConfig, "the node has no configuration yet; try another node")
@@ -177,7 +180,7 @@
 	if !ok {
 		return call.Refuse(call.CodeUnauthenticated, "exactly one key must come with the request")
 	}
-	req.key = req.snapshot.KeyByHash(config.HashKey(key))
+	req.key = m.Experiments.known(req.snapshot, key)
 	if req.key == nil {
 		return call.Refuse(call.CodeUnauthenticated, "the key is unknown or was withdrawn")
 	}
