Do not end a cold upstream's ramp by chance

Cause: the ramp of a cold limit compared means of 3 to 10 latencies and ended for good when one was 1.5 times the least; with latencies that vary, chance did that, and the limit then grew by a tenth at a time.

Change: the first 10 latencies are only gathered; during the ramp a rise must exceed two standard errors of both means. After the ramp nothing changes.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -33,6 +33,8 @@
 	epochMin     = 100 * time.Millisecond
 	epochMax     = 1 * time.Second
 	epochSamples = 10
+	// chanceErrors is the number of standard errors that chance explains.
+	chanceErrors = 2
 )
 
 // Limit learns how many requests the upstream does at once, between 1 and its
@@ -47,18 +49,44 @@
 	value int
 	// ramping is true until latency first rises or requests are refused.
 	ramping bool
-	// least is the latency that growth is measured against.
-	least time.Duration
-	epoch epoch
-	probe *probe
+	// first are the samples of a cold upstream, until they are enough to
+	// measure growth against.
+	first samples
+	// least is the latency that growth is measured against; leastError is its
+	// standard error.
+	least      time.Duration
+	leastError time.Duration
+	epoch      epoch
+	probe      *probe
+}
+
+// samples are latencies: their number, sum, and sum of squares in seconds.
+type samples struct {
+	count   int
+	total   time.Duration
+	squares float64
+}
+
+func (s *samples) add(other samples) {
+	s.count += other.count
+	s.total += other.total
+	s.squares += other.squares
+}
+
+func (s *samples) mean() time.Duration { return s.total / time.Duration(s.count) }
+
+// standardError returns the standard error of the mean.
+func (s *samples) standardError() time.Duration {
+	count, mean := float64(s.count), s.mean().Seconds()
+	variance := max(0, s.squares/count-mean*mean)
+	return time.Duration(math.Sqrt(variance/count) * float64(time.Second))
 }
 
 // epoch is what was seen since its start.
 type epoch struct {
+	samples
 	started    time.Time
-	samples    int
 	overloaded int
-	total      time.Duration
 	peak       int
 	// starved is true if the queue was empty at a time when slots were free.
 	starved bool
@@ -98,8 +126,7 @@
 
 // Finished records the end of a request.
 func (l *Limit) Finished(latency time.Duration, overloaded bool) {
-	l.epoch.samples++
-	l.epoch.total += latency
+	l.epoch.add(samples{count: 1, total: latency, squares: latency.Seconds() * latency.Seconds()})
 	if overloaded {
 		l.epoch.overloaded++
 	}
@@ -112,14 +139,14 @@
 		return
 	}
 	length := now.Sub(l.epoch.started)
-	least, samples := epochMin, epochSamples
+	least, enough := epochMin, epochSamples
 	if l.ramping {
-		least, samples = rampMin, min(epochSamples, l.value)
+		least, enough = rampMin, min(epochSamples, l.value)
 	}
-	if length < least || (l.epoch.samples < samples && length < epochMax) {
+	if length < least || (l.epoch.count < enough && length < epochMax) {
 		return
 	}
-	if l.epoch.samples > 0 {
+	if l.epoch.count > 0 {
 		l.adjust(now, length)
 	}
 	l.epoch = epoch{started: now}
@@ -127,14 +154,11 @@
 
 func (l *Limit) adjust(now time.Time, length time.Duration) {
 	e := l.epoch
-	latency := e.total / time.Duration(e.samples)
-	throughput := float64(e.samples) / length.Seconds()
-	if l.least == 0 || latency < l.least {
-		l.least = latency
-	}
-	risen := float64(latency) > l.opts.Tolerance*float64(l.least)
+	latency := e.mean()
+	throughput := float64(e.count) / length.Seconds()
+	risen := l.compare(latency)
 	switch {
-	case float64(e.overloaded) > overloadedShare*float64(e.samples):
+	case float64(e.overloaded) > overloadedShare*float64(e.count):
 		l.probe, l.ramping = nil, false
 		l.set(backoffShare * float64(l.value))
 	case l.probe != nil:
@@ -148,6 +172,26 @@
 	}
 }
 
+// compare reports whether the epoch's latency has risen above what is tolerated,
+// and learns the least. The first latencies of a cold upstream are few, so they
+// are only gathered; during the ramp a rise must exceed what chance makes of it.
+func (l *Limit) compare(latency time.Duration) bool {
+	if l.first.count < epochSamples {
+		l.first.add(l.epoch.samples)
+		l.least, l.leastError = l.first.mean(), l.first.standardError()
+		return false
+	}
+	if latency < l.least {
+		l.least, l.leastError = latency, l.epoch.standardError()
+	}
+	if !l.ramping {
+		return float64(latency) > l.opts.Tolerance*float64(l.least)
+	}
+	lowest := latency - chanceErrors*l.epoch.standardError()
+	highest := l.least + chanceErrors*l.leastError
+	return float64(lowest) > l.opts.Tolerance*float64(highest)
+}
+
 // conclude ends a probe. Throughput that fell by more than half of the cut
 // means that the upstream needs the concurrency.
 func (l *Limit) conclude(latency time.Duration, throughput float64, starved bool) {
