Stop a node as planned amid the faults of at-most-once

Cause: the case killed nodes only, so nothing showed that answers handed on at a planned stop keep a request from running twice while other faults happen.

Change: one node is stopped as planned and started again, over and over, beside the other faults; kills of nodes go to the others.

--- a/internal/bench/atmostonce.go
+++ b/internal/bench/atmostonce.go
@@ -51,6 +51,8 @@
 	DefiniteShare  float64 `json:"definite_share"`
 	Linearizable   bool    `json:"linearizable"`
 	Faults         int     `json:"faults"`
+	// PlannedStops counts the stops of a node beside the faults.
+	PlannedStops int `json:"planned_stops"`
 	// Calls counts requests whose upstream called another service, and sent
 	// the call again if it failed; CallsTwice those whose call ran twice.
 	Calls      int `json:"calls"`
@@ -63,7 +65,7 @@
 
 func (f *onceFigures) cells(name string) []string {
 	return []string{
-		name, fmt.Sprint(f.Requests), fmt.Sprint(f.Sends), fmt.Sprint(f.Faults), fmt.Sprint(f.RunTwice),
+		name, fmt.Sprint(f.Requests), fmt.Sprint(f.Sends), fmt.Sprint(f.Faults), fmt.Sprint(f.PlannedStops), fmt.Sprint(f.RunTwice),
 		fmt.Sprint(f.RefusedRan), fmt.Sprint(f.AnsweredNotRun), fmt.Sprint(f.WrongAnswers), fmt.Sprint(f.Linearizable),
 		fmt.Sprintf("%.2f %%", 100*f.DefiniteShare), fmt.Sprint(f.Answered), fmt.Sprint(f.Refused), fmt.Sprint(f.Unknown), fmt.Sprint(f.NoID),
 		fmt.Sprint(f.Calls), fmt.Sprint(f.CallsTwice),
@@ -91,7 +93,7 @@
 		Holds:   on.holds() && off.RunTwice > 0,
 		Figures: on,
 		Header: []string{
-			"ledger", "requests", "sends", "faults", "run twice", "refused but ran", "answered, not run", "wrong",
+			"ledger", "requests", "sends", "faults", "planned stops", "run twice", "refused but ran", "answered, not run", "wrong",
 			"linearizable", "definite", "answered", "refused", "unknown", "no id", "upstreams' calls", "twice",
 		},
 		Rows: [][]string{off.cells("off"), on.cells("on")},
@@ -150,7 +152,9 @@
 func (e *onceExperiment) execute(ctx context.Context, requests int) (*onceFigures, error) {
 	chaosCtx, stop := context.WithCancel(ctx)
 	faults := make(chan int, 1)
+	stops := make(chan int, 1)
 	go func() { faults <- e.injectFaults(chaosCtx) }()
+	go func() { stops <- e.planStops(chaosCtx) }()
 	var group sync.WaitGroup
 	for number := range requests {
 		seed := e.random.Uint64()
@@ -159,13 +163,13 @@
 	}
 	group.Wait()
 	stop()
-	injected := <-faults
+	injected, planned := <-faults, <-stops
 	runs, err := e.fleet.Runs("fares")
 	if err != nil {
 		return nil, err
 	}
 	figures := e.figures(requests, runs)
-	figures.Faults = injected
+	figures.Faults, figures.PlannedStops = injected, planned
 	return figures, nil
 }
 
--- a/internal/bench/oncefaults.go
+++ b/internal/bench/oncefaults.go
@@ -16,6 +16,8 @@
 	silentShare  = 3
 	// loseAnswers is how often the store takes a write and loses the answer.
 	loseAnswers = 5
+	// stopPause is the time between two planned stops.
+	stopPause = 1500 * time.Millisecond
 )
 
 // injectFaults kills nodes and upstreams, silences connections and stops the
@@ -47,8 +49,29 @@
 	return e.faultRandom.IntN(n)
 }
 
+// planStops stops the first node as planned and starts it again, beside the
+// other faults, until the context ends. It returns the number of stops.
+func (e *onceExperiment) planStops(ctx context.Context) int {
+	node := e.fleet.Nodes[0]
+	for count := 0; ; count++ {
+		select {
+		case <-ctx.Done():
+			return count
+		case <-time.After(stopPause):
+		}
+		_ = node.Process.Terminate()
+		select {
+		case <-node.Process.Done():
+		case <-time.After(drainStopTimeout):
+			node.Process.Kill()
+		}
+		_ = e.fleet.StartNode(node)
+	}
+}
+
+// killNode kills any node but the one that is stopped as planned.
 func (e *onceExperiment) killNode(context.Context) {
-	node := e.victim()
+	node := e.fleet.Nodes[1+e.choose(len(e.fleet.Nodes)-1)]
 	node.Process.Kill()
 	time.Sleep(restartDelay)
 	_ = e.fleet.StartNode(node)
