--- a/plugin/claims/claims_test.go
+++ b/plugin/claims/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -20,6 +21,7 @@
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
 	"github.com/mangomast/mangomast/store/etcd"
 )
 
@@ -100,6 +102,32 @@
 // Position implements relays.
 func (noRelays) Position() ([]membership.Entry, int) { return nil, 0 }
 
+// deadRelay is the position of a node whose domain's relay does not answer.
+type deadRelay struct{ address string }
+
+// Position implements relays.
+func (d deadRelay) Position() ([]membership.Entry, int) {
+	return []membership.Entry{{VM: "relay", MeshAddress: d.address}}, -1
+}
+
+func TestClaimIsWrittenHereIfNoWriterAnswers(t *testing.T) {
+	_, modules := newTestModules(t, 1)
+	m := modules[0]
+	fabric, err := mesh.New(mesh.Options{Self: mesh.Identity{VM: "self"}, Secret: "0123456789abcdef", Log: log.Log})
+	assert.NilError(t, err)
+	defer fabric.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	m.relays, m.mesh, m.config = deadRelay{listener.Addr().String()}, fabric, unconfigured{}
+	assert.NilError(t, listener.Close())
+	m.Direct, m.StoreWrites, m.pace, m.avoided = false, 1000, rate.NewLimiter(1000, paceBurst), map[string]time.Time{}
+	assert.Equal(t, len(m.writers()), 1)
+	record, err := m.Claim(t.Context(), "org", "key", "id")
+	assert.NilError(t, err)
+	assert.Assert(t, record.Won)
+	assert.Equal(t, len(m.writers()), 0, "a writer that did not answer is passed over")
+}
+
 func TestWritesStayBoundedAndBatchesGrow(t *testing.T) {
 	const writesPerSecond, count = 20, 400
 	backend, modules := newTestModules(t, 1)
