Subscribe to a service also if some of its VMs are known already

Cause: a node that is no relay looked a service up only if it knew none of the service's VMs. It knows the relays of its failure domain, so if one of them runs the service, the node never subscribed and sent all its calls to that VM. Besides, the cursor of an answer was kept although the node had subscribed to another service meanwhile, or had become a relay or ceased to be one; older entries of the new service were then never sent.

Excluded: views that differ for a moment after the start.

Change: a view says of which services it lists every VM; the others are looked up. A cursor is kept only if the answer was to what the node would ask for now. A first call that knows some VM waits for the answer too, later ones do not.

--- a/membership/view.go
+++ b/membership/view.go
@@ -21,6 +21,8 @@
 	services [viewShards]map[string][]Entry
 	all      func() []Entry
 	lookup   func(service string) []Entry
+	// whole has the services of which the view lists every VM.
+	whole map[string]bool
 }
 
 // NewView returns a view of the entries.
@@ -35,7 +37,7 @@
 // With returns a view in which the records have replaced those of the same
 // VMs. Its cost grows with the records, not with the view.
 func (v *View) With(records []Record) *View {
-	next := &viewChange{View: View{vms: v.vms, services: v.services, lookup: v.lookup}}
+	next := &viewChange{View: View{vms: v.vms, services: v.services, lookup: v.lookup, whole: v.whole}}
 	for _, record := range records {
 		next.apply(record)
 	}
@@ -112,13 +114,19 @@
 }
 
 // WithLookup returns the view with a function that finds the VMs of services
-// of which the view has none. The function may block for a short time.
-func (v *View) WithLookup(lookup func(service string) []Entry) *View {
+// that are not among the whole ones: of those the view may know none, or only
+// VMs that it met for another reason. The function may block for a short time.
+// The caller does not change the map any more.
+func (v *View) WithLookup(lookup func(service string) []Entry, whole map[string]bool) *View {
 	copied := *v
-	copied.lookup = lookup
+	copied.lookup, copied.whole = lookup, whole
 	return &copied
 }
 
+// Known returns the entries of the VMs that take work for the service and that
+// the view lists already, ordered by VM. It does not block.
+func (v *View) Known(service string) []Entry { return v.services[shardOf(service)][service] }
+
 // All returns every entry that the node knows, ordered by VM; the first call
 // sorts them. Only relays know every VM of the fleet; see Directory.
 func (v *View) All() []Entry { return v.all() }
@@ -137,9 +145,8 @@
 // ordered by VM. The first call for a service may block until the node has
 // subscribed to it.
 func (v *View) Service(service string) []Entry {
-	entries, ok := v.services[shardOf(service)][service]
-	if !ok && v.lookup != nil {
-		return v.lookup(service)
+	if v.lookup == nil || v.whole[service] {
+		return v.Known(service)
 	}
-	return entries
+	return v.lookup(service)
 }
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -81,8 +81,14 @@
 	cursors   map[string]cursor
 	domains   map[string]*domainState
 	services  map[string]*subscription
-	seedDue   time.Time
-	seedNext  int
+	// whole has the services whose subscription was answered; it is replaced
+	// and not changed. publishedWhole is its size in the current view.
+	whole          map[string]bool
+	publishedWhole int
+	// wasRelay is this node's role in the last round.
+	wasRelay bool
+	seedDue  time.Time
+	seedNext int
 	// storeSeeds are the seeds last read from the store.
 	storeSeeds []string
 	// primary is the relay that is asked for changes; each node starts with
@@ -149,6 +155,7 @@
 	m.cursors = map[string]cursor{}
 	m.domains = map[string]*domainState{}
 	m.services = map[string]*subscription{}
+	m.whole = map[string]bool{}
 	m.self = membership.Entry{
 		VM: ctx.Node.VM, Incarnation: ctx.Incarnation, Version: 1,
 		FailureDomain: ctx.Node.FailureDomain, Region: ctx.Node.Region,
@@ -213,16 +220,17 @@
 // publish makes a new view if the table changed. The caller holds m.mu.
 func (m *Module) publish() {
 	current := m.view.Load()
-	if m.published == m.table.Sequence() {
+	if m.published == m.table.Sequence() && m.publishedWhole == len(m.whole) {
 		return
 	}
+	m.publishedWhole = len(m.whole)
 	changes := m.table.Changes(m.published, func(membership.Record) bool { return true })
 	m.published = m.table.Sequence()
 	lookup := m.lookup
 	if m.rank() >= 0 {
 		lookup = nil
 	}
-	m.view.Store(current.With(changes).WithLookup(lookup))
+	m.view.Store(current.With(changes).WithLookup(lookup, m.whole))
 }
 
 // rank returns this node's position among the relays of its failure domain,
@@ -250,7 +258,8 @@
 }
 
 // lookup returns the VMs of a service. On the first call for the service it
-// subscribes to it and waits for the first answer.
+// subscribes to it and waits for the first answer; while that is missing, later
+// calls wait too unless some VM is known.
 func (m *Module) lookup(service string) []membership.Entry {
 	m.mu.Lock()
 	s, known := m.services[service]
@@ -263,11 +272,14 @@
 	if !known {
 		m.wake()
 	}
+	if entries := m.View().Known(service); known && len(entries) > 0 {
+		return entries
+	}
 	select {
 	case <-s.answered:
 	case <-m.clock.After(subscribeTimeout):
 	}
-	return m.View().WithLookup(nil).Service(service)
+	return m.View().Known(service)
 }
 
 // Actors implements kernel.ActorSource.
--- a/plugin/membership/report.go
+++ b/plugin/membership/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,9 @@
 	m.rounds++
 	relays := m.ownRelays()
 	relay := membership.Rank(relays, m.self.VM) >= 0
+	if relay != m.wasRelay {
+		m.wasRelay, m.cursors = relay, map[string]cursor{}
+	}
 	contacts := m.ownContacts(relays, relay)
 	if relay && m.rounds%slowRounds == 0 {
 		contacts = append(contacts, m.domainContacts()...)
@@ -159,7 +163,9 @@
 	}
 }
 
-// take takes in the answer to a report. The caller holds m.mu.
+// take takes in the answer to a report. Its cursor holds only for what was asked
+// for, so it is dropped if this node asks for something else by now. The caller
+// holds m.mu.
 func (m *Module) take(c contact, answer *reportAnswer) {
 	now := m.clock.Now()
 	own := answer.Domain == m.self.FailureDomain
@@ -187,16 +193,29 @@
 	if c.request.Quiet || c.vm == "" {
 		return
 	}
-	m.cursors[answer.VM] = answer.Cursor
+	if !own || m.asksFor(relay, &c.request) {
+		m.cursors[answer.VM] = answer.Cursor
+	}
 	for _, name := range c.request.Services {
 		if s := m.services[name]; s != nil && !s.done {
 			s.done = true
+			m.whole = maps.Clone(m.whole)
+			m.whole[name] = true
 			m.publish()
 			close(s.answered)
 		}
 	}
 }
 
+// asksFor reports whether the report asks the own failure domain's relays for
+// what this node, in its present role, would ask them for.
+func (m *Module) asksFor(relay bool, r *report) bool {
+	if relay {
+		return r.Domain != ""
+	}
+	return r.Domain == "" && slices.Equal(r.Services, m.subscribed())
+}
+
 // trusts reports whether the answering node is an authority on which VMs
 // live. A relay decides for itself about its failure domain and believes other
 // domains' relays about theirs; other nodes believe their relays.
