Let idle nodes sleep between looks at rates and the store

Cause: on an idle node the quota module woke 100 times a second, 50 for holdings that it has none of and 50 for terms; nodes that are no relay woke 10 times a second to see whether the store is to be read.

Change: the holders' loop sleeps until there is a holding; terms are looked at every 100 ms (a new owner starts at most 80 ms later, of 7.5 s in all); a node that is no relay looks every 500 ms whether it became one.

What is left are 50 wakes a second of the inbound gate.

--- a/plugin/config/reader.go
+++ b/plugin/config/reader.go
@@ -16,8 +16,10 @@
 
 const (
 	readTimeout = 2 * time.Second
-	// readCheck is the time between two looks at whether a read is due.
-	readCheck = 100 * time.Millisecond
+	// readCheck is the time between two looks of a relay at whether a read is
+	// due; another node only looks whether it became a relay.
+	readCheck      = 100 * time.Millisecond
+	otherReadCheck = 500 * time.Millisecond
 	// readAge is the age of the last proof by the store at which the first
 	// relay of a failure domain reads it; each further relay waits readStep
 	// longer, so that it reads only if the others do not.
@@ -50,7 +52,7 @@
 			}
 		}
 		// The jitter keeps relays from reading in step.
-		wait := max(readCheck, backoff)
+		wait := max(m.readCheck(), backoff)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -67,6 +69,14 @@
 	return min(max(minBackoff, 2*last), maxBackoff)
 }
 
+// readCheck returns the time to the next look at whether a read is due.
+func (m *Module) readCheck() time.Duration {
+	if _, rank := m.members.Position(); rank < 0 {
+		return otherReadCheck
+	}
+	return readCheck
+}
+
 func (m *Module) readDue() bool {
 	_, rank := m.members.Position()
 	if rank < 0 {
--- a/plugin/quota/holders.go
+++ b/plugin/quota/holders.go
@@ -34,6 +34,8 @@
 	*Module
 	mu             sync.Mutex
 	byOrganisation map[string]*holding
+	// first is signalled when a holding was made.
+	first chan struct{}
 }
 
 // holding is this node's share of one organisation's limit.
@@ -80,6 +82,10 @@
 			local: quota.NewLocalBucket(s.clock.Now(), limit),
 		}
 		s.byOrganisation[organisation] = h
+		select {
+		case s.first <- struct{}{}:
+		default:
+		}
 	}
 	return h, true
 }
@@ -213,8 +219,22 @@
 	s.log.WithFields(log.Fields{"organisation": organisation, "admitted_unix_ns": now.UnixNano()}).Debug("admitted")
 }
 
-// run sends the asks that are due.
+// run sends the asks that are due. It sleeps while there is no holding.
 func (s *holders) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.first:
+		}
+		if err := s.runHoldings(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// runHoldings sends the asks that are due until no holding is left.
+func (s *holders) runHoldings(ctx context.Context) error {
 	ticker := s.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -223,7 +243,11 @@
 			return ctx.Err()
 		case <-ticker.Chan():
 		}
-		for _, h := range s.all() {
+		all := s.all()
+		if len(all) == 0 {
+			return nil
+		}
+		for _, h := range all {
 			s.step(h)
 		}
 	}
--- a/plugin/quota/owners.go
+++ b/plugin/quota/owners.go
@@ -32,7 +32,7 @@
 // run takes up organisations as soon as their term is accepted, and drops
 // those that another node owns.
 func (s *owners) run(ctx context.Context) error {
-	ticker := s.clock.NewTicker(tickInterval)
+	ticker := s.clock.NewTicker(termInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/plugin/quota/quota.go
+++ b/plugin/quota/quota.go
@@ -41,8 +41,11 @@
 
 const (
 	defaultMaxWait = 300 * time.Millisecond
-	tickInterval   = 20 * time.Millisecond
-	drainTimeout   = time.Second
+	// tickInterval is the time between two looks at the holdings, termInterval
+	// at the organisations that this node owns.
+	tickInterval = 20 * time.Millisecond
+	termInterval = 100 * time.Millisecond
+	drainTimeout = time.Second
 )
 
 func init() {
@@ -118,7 +121,7 @@
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
-	m.holders = &holders{Module: m, byOrganisation: map[string]*holding{}}
+	m.holders = &holders{Module: m, byOrganisation: map[string]*holding{}, first: make(chan struct{}, 1)}
 	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}, addresses: map[quota.HolderID]string{}}
 	m.keeper = newTableKeeper(m, platform, relays, ctx.Node.Store.Prefix+config.OwnersKey)
 	m.mesh.Handle(mesh.KindQuota, mesh.Typed(m.owners.serveAsk))
