Split the rig, the stand-ins and the operators' API into one job a file

Cause: internal/rig/rig.go (430 lines), internal/standin/upstream.go (404), internal/standin/store.go (371) and plugin/operator/operator.go (341) each had several jobs. Excluded: any change of behaviour; the sorted lines of each package, but for imports, are the same before and after. Change: placement and control of the rig; leases, watches, calls, reports and announcements of the stand-ins; service and API of the operators' module, each in its own file. Conclusion: pure moves.

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -10,28 +10,19 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mangomast/mangomast/config"
-	"github.com/mangomast/mangomast/edit"
-	"github.com/mangomast/mangomast/internal/freeport"
 	"github.com/mangomast/mangomast/internal/standin"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/operator"
-	"github.com/mangomast/mangomast/settings"
-	"github.com/mangomast/mangomast/store/etcd"
 )
 
 const (
@@ -146,154 +137,6 @@
 	return r.WaitReady(ctx)
 }
 
-func (r *Rig) startStore() error {
-	ip := r.ip(0, 0)
-	addresses, err := freeport.Addresses(ip, 2)
-	if err != nil {
-		return err
-	}
-	r.StoreURL = "http://" + addresses[0]
-	r.StoreAddress = addresses[1]
-	r.Store, err = startProcess(r.dir, "store", r.bench(), "standin-store", "--listen", addresses[0])
-	if err != nil {
-		return err
-	}
-	if err := waitListening(addresses[0]); err != nil {
-		return err
-	}
-	return r.Network.Forward(StoreListener, addresses[1], addresses[0])
-}
-
-func (r *Rig) bench() string { return filepath.Join(r.binaries, "mangomast-bench") }
-
-func (r *Rig) ip(group, host int) string {
-	return fmt.Sprintf("127.%d.%d.%d", r.block, group, host+1)
-}
-
-// place chooses the addresses of a node and starts its proxies.
-func (r *Rig) place(index int, spec NodeSpec) (*Node, error) {
-	ip := r.ip(1+index/200, index%200)
-	addresses, err := freeport.Addresses(ip, 7)
-	if err != nil {
-		return nil, err
-	}
-	node := &Node{
-		Spec: spec, IP: ip,
-		Callers: addresses[0], Mesh: addresses[1], Egress: addresses[2], Admin: addresses[3],
-		CallersProxy: addresses[4], MeshProxy: addresses[5], UpstreamAddress: addresses[6],
-	}
-	if err := r.Network.Forward(spec.VM+"/mesh", node.MeshProxy, node.Mesh); err != nil {
-		return nil, err
-	}
-	return node, r.Network.Forward(spec.VM+"/callers", node.CallersProxy, node.Callers)
-}
-
-// maxSeeds bounds the seeds written into each node's settings.
-const maxSeeds = 3
-
-func (r *Rig) writeSettings(node *Node) error {
-	s := settings.Node{
-		VM: node.Spec.VM, FailureDomain: node.Spec.FailureDomain, Region: node.Spec.Region,
-		FleetSecret: fleetSecret,
-		Listen:      settings.Listen{Callers: node.Callers, Mesh: node.Mesh, Egress: node.Egress, Admin: node.Admin},
-		Advertise:   settings.Advertise{Callers: node.CallersProxy, Mesh: node.MeshProxy},
-		Store:       settings.Store{Endpoints: []string{"http://" + r.StoreAddress}, Prefix: StorePrefix},
-		LogLevel:    r.opts.LogLevel,
-		Modules:     node.Spec.Modules,
-	}
-	for _, other := range r.Nodes[:min(len(r.Nodes), r.seedCount())] {
-		s.Seeds = append(s.Seeds, other.MeshProxy)
-	}
-	data, err := json.Marshal(s)
-	if err != nil {
-		return errors.Wrap(err, "encode settings")
-	}
-	node.settings = filepath.Join(r.dir, node.Spec.VM+".json")
-	return errors.Wrap(os.WriteFile(node.settings, data, 0o600), "write settings")
-}
-
-func (r *Rig) seedCount() int {
-	if r.opts.WithoutSeeds {
-		return 0
-	}
-	return maxSeeds
-}
-
-// StartNode starts a node's process, or starts it again.
-func (r *Rig) StartNode(node *Node) error {
-	p, err := startProcess(r.dir, node.Spec.VM, filepath.Join(r.binaries, "mangomastd"), "--settings", node.settings)
-	node.Process = p
-	return err
-}
-
-// StartUpstream starts a node's upstream, or starts it again.
-func (r *Rig) StartUpstream(node *Node) error {
-	if node.Spec.Service == "" {
-		return nil
-	}
-	behaviour, err := json.Marshal(node.Spec.Behaviour)
-	if err != nil {
-		return errors.Wrap(err, "encode behaviour")
-	}
-	p, err := startProcess(r.dir, node.Spec.VM+"-upstream", r.bench(), "standin-upstream",
-		"--listen", node.UpstreamAddress, "--egress", "http://"+node.Egress,
-		"--service", node.Spec.Service, "--slots", strconv.Itoa(node.Spec.Slots),
-		"--connections", strconv.Itoa(node.Spec.Connections), "--behaviour", string(behaviour),
-		"--journal", r.journalFile(node))
-	node.Upstream = p
-	return err
-}
-
-// Apply writes the document into the store, past the proxy.
-func (r *Rig) Apply(ctx context.Context, doc *config.Document) error {
-	backend := etcd.New(etcd.Options{Endpoints: []string{r.StoreURL}})
-	_, err := edit.NewEditor(backend, StorePrefix, clockwork.NewRealClock()).Replace(ctx, doc, "rig")
-	return err
-}
-
-// SetStoreFaults changes how the store misbehaves.
-func (r *Rig) SetStoreFaults(ctx context.Context, f standin.Faults) error {
-	return postJSON(ctx, r.StoreURL+standin.PathFaults, f)
-}
-
-// StoreCounts returns the calls that the store has seen.
-func (r *Rig) StoreCounts(ctx context.Context) (standin.Counts, error) {
-	var counts standin.Counts
-	err := getJSON(ctx, r.StoreURL+standin.PathCounts, &counts)
-	return counts, err
-}
-
-// SetBehaviour changes how a node's upstream serves requests.
-func (r *Rig) SetBehaviour(ctx context.Context, node *Node, b standin.Behaviour) error {
-	return postJSON(ctx, "http://"+node.UpstreamAddress+standin.PathBehaviour, b)
-}
-
-// LeaveUpstream makes a node's upstream announce that it is leaving.
-func (r *Rig) LeaveUpstream(ctx context.Context, node *Node) error {
-	return postJSON(ctx, "http://"+node.UpstreamAddress+standin.PathLeave, nil)
-}
-
-// Report returns what a node's upstream has seen since it was started.
-func (r *Rig) Report(ctx context.Context, node *Node) (standin.Report, error) {
-	var report standin.Report
-	err := getJSON(ctx, "http://"+node.UpstreamAddress+standin.PathReport, &report)
-	return report, err
-}
-
-// Status returns a node's view of the fleet.
-func (r *Rig) Status(ctx context.Context, node *Node) (operator.Status, error) {
-	var status operator.Status
-	err := getJSON(ctx, "http://"+node.Admin+operator.PathStatus, &status)
-	return status, err
-}
-
-// OwnStatus returns what a node says of itself alone, which is quick.
-func (r *Rig) OwnStatus(ctx context.Context, node *Node) (operator.Status, error) {
-	var status operator.Status
-	err := getJSON(ctx, "http://"+node.Admin+operator.PathStatus+"?members=no", &status)
-	return status, err
-}
-
 // WaitReady waits until every node knows every other and has configuration.
 func (r *Rig) WaitReady(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -369,54 +212,6 @@
 	_ = os.RemoveAll(r.dir)
 }
 
-func waitListening(address string) error {
-	const attempts = 200
-	for range attempts {
-		conn, err := net.Dial("tcp", address)
-		if err == nil {
-			return conn.Close()
-		}
-		time.Sleep(readyPoll)
-	}
-	return errors.Errorf("nothing listens on %s", address)
-}
-
-func getJSON(ctx context.Context, url string, target any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return errors.Wrap(err, "build request")
-	}
-	return doJSON(req, target)
-}
-
-func postJSON(ctx context.Context, url string, body any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return errors.Wrap(err, "encode request")
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
-	if err != nil {
-		return errors.Wrap(err, "build request")
-	}
-	return doJSON(req, nil)
-}
-
-func doJSON(req *http.Request, target any) error {
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Wrap(err, req.URL.Path)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("%s answered %s", req.URL.Path, resp.Status)
-	}
-	if target == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		return err
-	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(target), req.URL.Path)
-}
-
 // RegionOf returns the region of a node by its IP number, its VM name or the
 // name of one of its listeners; empty for callers and the store.
 func RegionOf(r *Rig, name string) string {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -56,16 +56,6 @@
 	writes   int
 }
 
-type storeEvent struct {
-	revision int64
-	event    etcd.WatchEvent
-}
-
-type storeLease struct {
-	ttl     time.Duration
-	expires time.Time
-}
-
 // NewStore returns an empty store at revision 1.
 func NewStore() *Store {
 	return &Store{
@@ -234,15 +224,6 @@
 	s.record(etcd.EventDeleted, etcd.KeyValue{Key: []byte(key), ModRevision: s.revision})
 }
 
-func (s *Store) record(kind string, kv etcd.KeyValue) {
-	s.history = append(s.history, storeEvent{revision: s.revision, event: etcd.WatchEvent{Type: kind, Kv: kv}})
-}
-
-func (s *Store) wake() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // loseAnswer drops the connection of a write that took effect.
 func (s *Store) loseAnswer() {
 	s.writes++
@@ -251,111 +232,6 @@
 	}
 }
 
-func (s *Store) serveGrant(req etcd.LeaseRequest) etcd.LeaseResponse {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts.Leases++
-	s.revision++
-	id := s.revision
-	ttl := time.Duration(req.TTL) * time.Second
-	s.leases[id] = &storeLease{ttl: ttl, expires: time.Now().Add(ttl)}
-	return etcd.LeaseResponse{ID: id, TTL: req.TTL}
-}
-
-func (s *Store) serveKeepAlive(req etcd.LeaseRequest) etcd.KeepAliveResponse {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts.Leases++
-	s.expireLeases()
-	lease, ok := s.leases[req.ID]
-	if !ok {
-		return etcd.KeepAliveResponse{Result: etcd.LeaseResponse{ID: req.ID}}
-	}
-	lease.expires = time.Now().Add(lease.ttl)
-	return etcd.KeepAliveResponse{Result: etcd.LeaseResponse{ID: req.ID, TTL: int64(lease.ttl / time.Second)}}
-}
-
-func (s *Store) serveRevoke(req etcd.LeaseRequest) etcd.LeaseResponse {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts.Leases++
-	s.endLease(req.ID)
-	return etcd.LeaseResponse{ID: req.ID}
-}
-
-func (s *Store) expireLeases() {
-	now := time.Now()
-	for id, lease := range s.leases {
-		if now.After(lease.expires) {
-			s.endLease(id)
-		}
-	}
-}
-
-func (s *Store) endLease(id int64) {
-	if _, ok := s.leases[id]; !ok {
-		return
-	}
-	delete(s.leases, id)
-	s.revision++
-	for key, kv := range s.keys {
-		if kv.Lease == id {
-			s.remove(key)
-		}
-	}
-	s.wake()
-}
-
-func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
-	var req etcd.WatchRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.count(func(c *Counts) { c.Watches++; c.Waiting++ })
-	defer s.count(func(c *Counts) { c.Waiting-- })
-	encoder := json.NewEncoder(w)
-	flusher := http.NewResponseController(w)
-	s.mu.Lock()
-	down := s.down
-	next := req.Create.StartRevision
-	if next == 0 {
-		next = s.revision + 1
-	}
-	s.mu.Unlock()
-	_ = encoder.Encode(etcd.WatchMessage{Result: etcd.WatchResult{Created: true}})
-	for {
-		_ = flusher.Flush()
-		events, revision, changed := s.eventsFrom(next, req.Create)
-		next = revision + 1
-		if len(events) > 0 {
-			result := etcd.WatchResult{Header: etcd.Header{Revision: revision}, Events: events}
-			_ = encoder.Encode(etcd.WatchMessage{Result: result})
-			continue
-		}
-		select {
-		case <-changed:
-		case <-down:
-			panic(http.ErrAbortHandler)
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func (s *Store) eventsFrom(next int64, create etcd.WatchCreate) ([]etcd.WatchEvent, int64, chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var events []etcd.WatchEvent
-	start := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision >= next })
-	for _, e := range s.history[start:] {
-		if inRange(string(e.event.Kv.Key), create.Key, create.RangeEnd) {
-			events = append(events, e.event)
-		}
-	}
-	return events, s.revision, s.changed
-}
-
 // Keys returns the keys that start with prefix, for tests.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/standin/store_watch.go
@@ -0,0 +1,73 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+
+	"github.com/mangomast/mangomast/store/etcd"
+)
+
+type storeEvent struct {
+	revision int64
+	event    etcd.WatchEvent
+}
+
+func (s *Store) record(kind string, kv etcd.KeyValue) {
+	s.history = append(s.history, storeEvent{revision: s.revision, event: etcd.WatchEvent{Type: kind, Kv: kv}})
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var req etcd.WatchRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.count(func(c *Counts) { c.Watches++; c.Waiting++ })
+	defer s.count(func(c *Counts) { c.Waiting-- })
+	encoder := json.NewEncoder(w)
+	flusher := http.NewResponseController(w)
+	s.mu.Lock()
+	down := s.down
+	next := req.Create.StartRevision
+	if next == 0 {
+		next = s.revision + 1
+	}
+	s.mu.Unlock()
+	_ = encoder.Encode(etcd.WatchMessage{Result: etcd.WatchResult{Created: true}})
+	for {
+		_ = flusher.Flush()
+		events, revision, changed := s.eventsFrom(next, req.Create)
+		next = revision + 1
+		if len(events) > 0 {
+			result := etcd.WatchResult{Header: etcd.Header{Revision: revision}, Events: events}
+			_ = encoder.Encode(etcd.WatchMessage{Result: result})
+			continue
+		}
+		select {
+		case <-changed:
+		case <-down:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) eventsFrom(next int64, create etcd.WatchCreate) ([]etcd.WatchEvent, int64, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var events []etcd.WatchEvent
+	start := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision >= next })
+	for _, e := range s.history[start:] {
+		if inRange(string(e.event.Kv.Key), create.Key, create.RangeEnd) {
+			events = append(events, e.event)
+		}
+	}
+	return events, s.revision, s.changed
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -1,23 +1,13 @@
 package standin
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
-	"regexp"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
-
-	"github.com/mangomast/mangomast/call"
-	"github.com/mangomast/mangomast/config"
 )
 
 // PathReport reads an upstream's Report; PathBehaviour sets its Behaviour;
@@ -62,28 +52,6 @@
 	ChildRetries int `json:"child_retries"`
 }
 
-// Report is what an upstream has seen.
-type Report struct {
-	// Runs counts the runs of each request that carried HeaderTestID.
-	Runs map[string]int `json:"runs"`
-	// Total counts all runs; Failed those answered with an error.
-	Total  int `json:"total"`
-	Failed int `json:"failed"`
-	// BusyMicros is the slot time spent.
-	BusyMicros int64 `json:"busy_us"`
-	// BusyByID is the slot time spent on each request with HeaderTestID.
-	BusyByID map[string]int64 `json:"busy_by_id"`
-	// KeysSeen counts requests in which a caller's key was found.
-	KeysSeen int `json:"keys_seen"`
-	// Organisations counts runs by organisation.
-	Organisations map[string]int `json:"organisations"`
-	// LastRunUnixMicros is when the last run began.
-	LastRunUnixMicros int64 `json:"last_run_unix_us"`
-	// LastRunOf is when the last run for each organisation began, in
-	// microseconds of Unix time.
-	LastRunOf map[string]int64 `json:"last_run_of_unix_us"`
-}
-
 // UpstreamOptions are the inputs of NewUpstream.
 type UpstreamOptions struct {
 	// Slots is the number of requests that run at once; others wait.
@@ -191,51 +159,6 @@
 	u.answer(w, r)
 }
 
-// begin records a run.
-func (u *Upstream) begin(r *http.Request, body []byte) Behaviour {
-	seen := holdsKey(r, body)
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.report.Total++
-	u.report.LastRunUnixMicros = time.Now().UnixMicro()
-	organisation := r.Header.Get(call.HeaderOrganisation)
-	u.report.Organisations[organisation]++
-	u.report.LastRunOf[organisation] = u.report.LastRunUnixMicros
-	if id := r.Header.Get(HeaderTestID); id != "" {
-		u.report.Runs[id]++
-		u.record(id)
-	}
-	if seen {
-		u.report.KeysSeen++
-	}
-	return u.behaviour
-}
-
-func (u *Upstream) record(id string) {
-	if u.journal != nil {
-		_, _ = io.WriteString(u.journal, id+"\n")
-	}
-}
-
-// keyPattern matches a caller's key in any case. The key's prefix alone stands
-// in random tokens now and then.
-var keyPattern = regexp.MustCompile("(?i)" + config.KeyPrefix + "[a-z2-7]{32}")
-
-// holdsKey looks for a caller's key in the whole request.
-func holdsKey(r *http.Request, body []byte) bool {
-	if keyPattern.MatchString(r.URL.String()) || keyPattern.Match(body) {
-		return true
-	}
-	for _, header := range []http.Header{r.Header, r.Trailer} {
-		for name, values := range header {
-			if keyPattern.MatchString(name + " " + strings.Join(values, " ")) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // coldness returns the factor on the work time at an age of the upstream.
 func (b Behaviour) coldness(age time.Duration) float64 {
 	left := 1 - age.Seconds()*1000/float64(max(1, b.ColdMillis))
@@ -271,52 +194,6 @@
 	http.Error(w, message, status)
 }
 
-// call sends a request to another service.
-func (u *Upstream) call(r *http.Request, target string, b Behaviour) error {
-	for retries := b.ChildRetries; ; retries-- {
-		err := u.callOnce(r, target, time.Duration(b.ChildTimeoutMicros)*time.Microsecond)
-		if err == nil || retries <= 0 || r.Context().Err() != nil {
-			return err
-		}
-	}
-}
-
-// locate returns the URL of a target.
-func (u *Upstream) locate(target string) string {
-	choices := strings.Fields(target)
-	if len(choices) == 0 || !strings.Contains(choices[0], "://") {
-		return u.egress + target
-	}
-	return choices[rand.IntN(len(choices))]
-}
-
-func (u *Upstream) callOnce(r *http.Request, target string, timeout time.Duration) error {
-	ctx := r.Context()
-	if timeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, timeout)
-		defer cancel()
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.locate(target), nil)
-	if err != nil {
-		return errors.Wrap(err, "build call")
-	}
-	req.Header.Set(call.HeaderContext, r.Header.Get(call.HeaderContext))
-	req.Header.Set(HeaderTestID, r.Header.Get(HeaderTestID))
-	resp, err := u.client.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "call "+target)
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return errors.Wrap(err, "read answer of "+target)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("call %s answered %s", target, resp.Status)
-	}
-	return nil
-}
-
 func (u *Upstream) answer(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	size, _ := strconv.Atoi(query.Get("bytes"))
@@ -336,69 +213,3 @@
 	_, _ = source.Read(data)
 	return data
 }
-
-// Announcer keeps an upstream announced to its node.
-type Announcer struct {
-	// Egress is the base URL of the node's loopback listener.
-	Egress      string `json:"-"`
-	Service     string `json:"service"`
-	Address     string `json:"address"`
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
-	Leaving     bool   `json:"leaving"`
-	// Health and Load are what the upstream says of itself.
-	Health string  `json:"health,omitempty"`
-	Load   float64 `json:"load,omitempty"`
-
-	mu sync.Mutex
-}
-
-// Leave announces that the upstream takes no new work.
-func (a *Announcer) Leave(ctx context.Context) error {
-	a.mu.Lock()
-	a.Leaving = true
-	a.mu.Unlock()
-	return a.Announce(ctx)
-}
-
-const announceInterval = 500 * time.Millisecond
-
-// Run announces the upstream until the context ends.
-func (a *Announcer) Run(ctx context.Context) error {
-	for {
-		_ = a.Announce(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(announceInterval):
-		}
-	}
-}
-
-// Announce posts one announcement.
-func (a *Announcer) Announce(ctx context.Context) error {
-	a.mu.Lock()
-	data, err := json.Marshal(a)
-	a.mu.Unlock()
-	if err != nil {
-		return errors.Wrap(err, "encode announcement")
-	}
-	target, err := url.JoinPath(a.Egress, "/.mangomast/announce")
-	if err != nil {
-		return errors.Wrap(err, "announce")
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(data))
-	if err != nil {
-		return errors.Wrap(err, "announce")
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "announce")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		return errors.Errorf("announcement was answered %s", resp.Status)
-	}
-	return nil
-}
--- /dev/null
+++ b/plugin/operator/service.go
@@ -0,0 +1,107 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/edit"
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/operator"
+)
+
+// Service is what the API and the console share. It is safe for concurrent use.
+type Service struct {
+	Editor *edit.Editor
+	static []config.Operator
+	config config.Source
+	stream config.Progress
+	fleet  membership.Directory
+}
+
+// Authenticate returns the operator whose token has the hash.
+func (s *Service) Authenticate(hash string) (config.Operator, bool) {
+	if o, ok := operator.Authenticate(s.static, hash); ok {
+		return o, true
+	}
+	if snapshot := s.config.Snapshot(); snapshot != nil {
+		return operator.Authenticate(snapshot.Document.Operators, hash)
+	}
+	return config.Operator{}, false
+}
+
+// Progress says how far a revision has come into force. It blocks until the
+// relays have listed the fleet or the context ends.
+func (s *Service) Progress(ctx context.Context, revision int64) (operator.Progress, error) {
+	_, progress, err := s.Overview(ctx, revision)
+	return progress, err
+}
+
+func (s *Service) progressOf(members []membership.Entry, revision int64) operator.Progress {
+	p := operator.Progress{Revision: revision, Accepted: s.config.Accepted() >= revision}
+	for _, entry := range members {
+		if entry.State == membership.Gone {
+			continue
+		}
+		p.Total++
+		if entry.ConfigRevision >= revision {
+			p.InForce++
+			continue
+		}
+		p.Waiting = append(p.Waiting, entry.VM)
+	}
+	p.Accepted = p.Accepted && len(p.Waiting) == 0
+	return p
+}
+
+// Overview returns every VM of the fleet, and how far a revision has come into
+// force on them.
+func (s *Service) Overview(ctx context.Context, revision int64) ([]membership.Entry, operator.Progress, error) {
+	members, err := s.fleet.Members(ctx)
+	if err != nil {
+		return nil, operator.Progress{}, errors.Wrap(err, "list the fleet's VMs")
+	}
+	p := s.progressOf(members, revision)
+	if p.Accepted {
+		return members, p, nil
+	}
+	if reasons, err := s.stream.WaitsFor(ctx, revision); err == nil {
+		p.Waiting = append(p.Waiting, reasons...)
+	}
+	return members, p, nil
+}
+
+// GrantKey makes a key and returns it with the change that added its hash.
+func (s *Service) GrantKey(ctx context.Context, author string, r operator.KeyRequest) (*operator.KeyAnswer, error) {
+	secret := config.NewKey()
+	added, err := edit.NewElement("keys", r.ID, config.Key{
+		ID: r.ID, Organisation: r.Organisation, Hash: config.HashKey(secret), Note: r.Note,
+	})
+	if err != nil {
+		return nil, err
+	}
+	change, err := s.Editor.Commit(ctx, edit.Proposal{Author: author, Note: "grant key " + r.ID, Edits: []edit.Edit{added}})
+	if err != nil {
+		return nil, err
+	}
+	return &operator.KeyAnswer{Key: secret, Change: *change}, nil
+}
+
+// WithdrawKey removes a key.
+func (s *Service) WithdrawKey(ctx context.Context, author, id string) (*edit.Change, error) {
+	current, err := s.Editor.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	field := "/keys/" + id
+	old, err := edit.Value(current.Document, field)
+	if err != nil {
+		return nil, err
+	}
+	if old == nil {
+		return nil, errors.Errorf("there is no key %q; 'mangomast show' lists the keys", id)
+	}
+	removal := edit.Edit{Field: field, Old: old}
+	return s.Editor.Commit(ctx, edit.Proposal{Author: author, Note: "withdraw key " + id, Edits: []edit.Edit{removal}})
+}
