--- a/config/section.go
+++ b/config/section.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -188,6 +189,9 @@
 }
 
 func samePart(a, b *Document) (bool, error) {
+	if reflect.DeepEqual(a, b) {
+		return true, nil
+	}
 	first, err := json.Marshal(a)
 	if err != nil {
 		return false, errors.Wrap(err, "encode a section")
--- a/edit/edit.go
+++ b/edit/edit.go
@@ -12,13 +12,21 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/mangomast/mangomast/config"
 )
 
+// elementDepth is the number of slashes in the path of an element.
+const elementDepth = 2
+
+// ErrUnchanged means that the document is already as the edits want it.
+var ErrUnchanged = errors.New("nothing to change: the document has these values already")
+
 // Edit changes one field, or adds or removes one element.
 type Edit struct {
 	Field string `json:"field"`
@@ -35,6 +43,27 @@
 	// Theirs is the field's value now; Yours the value that was wanted.
 	Theirs json.RawMessage `json:"theirs,omitempty"`
 	Yours  json.RawMessage `json:"yours,omitempty"`
+	// By is the last change of the field, without its edits; nil if it is not
+	// among the latest.
+	By *Change `json:"by,omitempty"`
+}
+
+// String says what stands against the change, and who did it.
+func (c Conflict) String() string {
+	text := fmt.Sprintf("%s: is now %s, was %s when you read it, you want %s",
+		c.Field, orAbsent(c.Theirs), orAbsent(c.Old), orAbsent(c.Yours))
+	if c.Addition() {
+		text = c.Field + ": exists already; choose another ID"
+	}
+	if c.By != nil {
+		text += fmt.Sprintf(" (changed by %s at %s UTC, change %d)", c.By.Author, c.By.Time.Format(time.DateTime), c.By.Number)
+	}
+	return text
+}
+
+// Addition reports whether the edit adds an element that exists already.
+func (c Conflict) Addition() bool {
+	return len(c.Old) == 0 && len(c.Theirs) > 0 && strings.Count(c.Field, "/") == elementDepth
 }
 
 // ConflictError reports every conflict of a change at once.
@@ -46,8 +75,7 @@
 func (e *ConflictError) Error() string {
 	lines := make([]string, len(e.Conflicts))
 	for i, c := range e.Conflicts {
-		lines[i] = fmt.Sprintf("%s: is now %s, was %s when you opened it, you want %s",
-			c.Field, orAbsent(c.Theirs), orAbsent(c.Old), orAbsent(c.Yours))
+		lines[i] = c.String()
 	}
 	return strings.Join(lines, "\n")
 }
@@ -63,10 +91,7 @@
 // *ConflictError if a field is neither as its edit's Old nor as its New, and
 // a *finding.Error if the result is invalid.
 func Apply(doc *config.Document, edits []Edit) (*config.Document, error) {
-	tree, err := treeOf(doc)
-	if err != nil {
-		return nil, err
-	}
+	tree := treeOf(doc)
 	var conflicts []Conflict
 	for _, e := range edits {
 		path, err := parsePath(e.Field)
@@ -91,13 +116,21 @@
 	return tree.document()
 }
 
+// unchanged reports whether the document is as the edits want it.
+func unchanged(doc *config.Document, edits []Edit) (bool, error) {
+	reader := NewReader(doc)
+	for _, e := range edits {
+		value, err := reader.Value(e.Field)
+		if err != nil || !same(value, e.New) {
+			return false, err
+		}
+	}
+	return len(edits) > 0, nil
+}
+
 // Value returns the value of a field or element, or nil if it is absent.
 func Value(doc *config.Document, field string) (json.RawMessage, error) {
-	reader, err := NewReader(doc)
-	if err != nil {
-		return nil, err
-	}
-	return reader.Value(field)
+	return NewReader(doc).Value(field)
 }
 
 // Reader reads many fields of one document, which it takes apart once.
@@ -106,9 +139,8 @@
 }
 
 // NewReader returns a reader of the document.
-func NewReader(doc *config.Document) (*Reader, error) {
-	tree, err := treeOf(doc)
-	return &Reader{tree: tree}, err
+func NewReader(doc *config.Document) *Reader {
+	return &Reader{tree: treeOf(doc)}
 }
 
 // Value returns the value of a field or element, or nil if it is absent.
@@ -131,20 +163,13 @@
 
 // Diff returns the edits that turn one document into another. Elements that
 // are in both are compared field by field.
-func Diff(from, to *config.Document) ([]Edit, error) {
-	before, err := treeOf(from)
-	if err != nil {
-		return nil, err
-	}
-	after, err := treeOf(to)
-	if err != nil {
-		return nil, err
-	}
+func Diff(from, to *config.Document) []Edit {
+	before, after := treeOf(from), treeOf(to)
 	var edits []Edit
 	for i := range before.collections {
 		edits = append(edits, diffCollection(&before.collections[i], &after.collections[i])...)
 	}
-	return edits, nil
+	return edits
 }
 
 func diffCollection(before, after *collection) []Edit {
@@ -166,6 +191,9 @@
 }
 
 func diffElement(at string, before, after *element) []Edit {
+	if before.typed.IsValid() && after.typed.IsValid() && reflect.DeepEqual(before.typed.Interface(), after.typed.Interface()) {
+		return nil
+	}
 	var edits []Edit
 	for _, name := range unionNames(before, after) {
 		old, changed := before.get(name), after.get(name)
--- a/edit/edit_test.go
+++ b/edit/edit_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
@@ -15,6 +16,7 @@
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/store"
 	"github.com/mangomast/mangomast/store/etcd"
 )
 
@@ -77,7 +79,7 @@
 	e, _ := newEditor(t)
 	commit(t, e, addOrganisation("beach"))
 	change := commit(t, e, Edit{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("6")})
-	undone, err := e.Undo(t.Context(), change.Number, "test")
+	undone, err := e.Undo(t.Context(), change.Number, Proposal{Author: "test"})
 	assert.NilError(t, err)
 	assert.Equal(t, undone.Number, change.Number+1)
 	current, err := e.Read(t.Context())
@@ -132,14 +134,92 @@
 func TestDiffAndApplyAgree(t *testing.T) {
 	from := &config.Document{Organisations: []config.Organisation{{ID: "a", Weight: 1, Burst: 1}, {ID: "b", Weight: 1, Burst: 1}}}
 	to := &config.Document{Organisations: []config.Organisation{{ID: "b", Weight: 2, Burst: 1, Suspended: true}, {ID: "c", Weight: 1, Burst: 1}}}
-	edits, err := Diff(from, to)
-	assert.NilError(t, err)
+	edits := Diff(from, to)
 	got, err := Apply(from, edits)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got.Organisations, to.Organisations)
 	back, err := Apply(got, Invert(edits))
 	assert.NilError(t, err)
-	rest, err := Diff(back, from)
-	assert.NilError(t, err)
+	rest := Diff(back, from)
 	assert.Equal(t, len(rest), 0)
 }
+
+// The outage closes connections that are in use, so that reads get no answer;
+// nothing can have been written.
+func TestAnOutageBeforeTheWriteIsNoUnknownOutcome(t *testing.T) {
+	e, backend := newEditor(t)
+	commit(t, e, addOrganisation("beach"))
+	backend.SetFaults(standin.Faults{Outage: true})
+	_, err := e.Commit(t.Context(), Proposal{Edits: []Edit{addOrganisation("other")}})
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+	assert.Assert(t, !errors.Is(err, store.ErrOutcomeUnknown), err)
+}
+
+func TestAChangeThatChangesNothingIsNotWritten(t *testing.T) {
+	e, _ := newEditor(t)
+	commit(t, e, addOrganisation("beach"))
+	_, err := e.Commit(t.Context(), Proposal{Edits: []Edit{{Field: "/organisations/beach/rate", Old: raw("4"), New: raw("5")}}})
+	assert.ErrorIs(t, err, ErrUnchanged)
+	history, err := e.History(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 1)
+}
+
+func TestAValueTooLargeForTheStoreIsRefused(t *testing.T) {
+	e, _ := newEditor(t)
+	edits := []Edit{addOrganisation("beach")}
+	for _, id := range []string{"a", "b"} {
+		key := `{"organisation": "beach", "hash": "` + config.HashKey(id) + `", "note": "` + strings.Repeat("x", MaxValueBytes/2) + `"}`
+		edits = append(edits, Edit{Field: "/keys/" + id, New: raw(key)})
+	}
+	_, err := e.Commit(t.Context(), Proposal{Edits: edits})
+	assert.ErrorContains(t, err, "make it in several smaller changes")
+	current, err := e.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, current.Revision, int64(0))
+}
+
+func TestAProposalSentTwiceIsMadeOnce(t *testing.T) {
+	e, _ := newEditor(t)
+	commit(t, e, addOrganisation("beach"))
+	change := commit(t, e, Edit{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("6")})
+	first, err := e.Undo(t.Context(), change.Number, Proposal{ID: "undo-1", Author: "test"})
+	assert.NilError(t, err)
+	commit(t, e, Edit{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("7")})
+	again, err := e.Undo(t.Context(), change.Number, Proposal{ID: "undo-1", Author: "test"})
+	assert.NilError(t, err)
+	assert.Equal(t, again.Number, first.Number)
+}
+
+func TestAConflictNamesTheOtherOperator(t *testing.T) {
+	e, _ := newEditor(t)
+	commit(t, e, addOrganisation("beach"))
+	_, err := e.Commit(t.Context(), Proposal{Author: "day-shift", Note: "regatta", Edits: []Edit{
+		{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("6")},
+	}})
+	assert.NilError(t, err)
+	_, err = e.Commit(t.Context(), Proposal{Edits: []Edit{{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("7")}}})
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.ErrorContains(t, err, `changed by day-shift`)
+	assert.Equal(t, conflict.Conflicts[0].By.Note, "regatta")
+	_, err = e.Commit(t.Context(), Proposal{Edits: []Edit{{Field: "/organisations/beach", New: raw(`{"weight": 2}`)}}})
+	assert.ErrorContains(t, err, "exists already")
+}
+
+// A fleet's document is larger than one value of the store.
+func TestAFieldOfALargeDocumentIsChanged(t *testing.T) {
+	doc := &config.Document{Organisations: []config.Organisation{{ID: "beach", Weight: 1, Rate: 5, Burst: 1}}}
+	for i := range 8000 {
+		id := "key-" + strconv.Itoa(i)
+		doc.Keys = append(doc.Keys, config.Key{ID: id, Organisation: "beach", Hash: config.HashKey(id)})
+	}
+	data, err := doc.Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) > MaxValueBytes)
+	changed, err := Apply(doc, []Edit{{Field: "/organisations/beach/rate", Old: raw("5"), New: raw("6")}})
+	assert.NilError(t, err)
+	assert.Equal(t, changed.Organisations[0].Rate, 6.0)
+	_, err = config.Parse("doc.json", data)
+	assert.NilError(t, err)
+}
--- a/edit/editor.go
+++ b/edit/editor.go
@@ -1,6 +1,7 @@
 package edit
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,10 @@
 	// reread is the pause before a document that changed while it was read is
 	// read again.
 	reread = 10 * time.Millisecond
+	// readAttempts is how often a read is sent that gets no answer.
+	readAttempts = 2
+	// MaxValueBytes is the largest value that the store takes.
+	MaxValueBytes = 1 << 20
 )
 
 // Change is one accepted write of the document, kept as history.
@@ -75,21 +80,36 @@
 }
 
 // Read returns the document, ordered by id; an empty one at revision 0 if there
-// is none.
+// is none. A store that does not answer is store.ErrUnavailable.
 func (e *Editor) Read(ctx context.Context) (*Current, error) {
-	for {
+	for attempt := 1; ; {
 		current, err := e.read(ctx)
-		if !errors.Is(err, config.ErrSectionChanged) {
-			return current, err
+		pause := reread
+		switch {
+		case errors.Is(err, config.ErrSectionChanged):
+		case errors.Is(err, store.ErrOutcomeUnknown) && attempt < readAttempts:
+			attempt++
+			pause = settleDelay
+		default:
+			return current, unanswered(err)
 		}
 		select {
 		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-e.clock.After(reread):
+			return nil, errors.Wrap(store.ErrUnavailable, "the document was not read in time")
+		case <-e.clock.After(pause):
 		}
 	}
 }
 
+// unanswered turns a read without an answer into store.ErrUnavailable: a read
+// changes nothing.
+func unanswered(err error) error {
+	if errors.Is(err, store.ErrOutcomeUnknown) {
+		return errors.Wrap(store.ErrUnavailable, "the store did not answer a read")
+	}
+	return err
+}
+
 func (e *Editor) read(ctx context.Context) (*Current, error) {
 	listing, err := e.store.Get(ctx, e.prefix+config.DocumentKey)
 	if err != nil {
@@ -124,7 +144,7 @@
 // Commit writes a proposal on top of the latest document. Writes whose answer
 // was lost are settled by reading back; Commit returns store.ErrOutcomeUnknown
 // only if the context ended before that. Other errors mean that nothing was
-// written: *ConflictError, *finding.Error or the store's.
+// written: *ConflictError, *finding.Error, ErrUnchanged or the store's.
 func (e *Editor) Commit(ctx context.Context, p Proposal) (*Change, error) {
 	if p.ID == "" {
 		p.ID = uuid.NewString()
@@ -145,7 +165,7 @@
 		case errors.Is(err, store.ErrOutcomeUnknown), unsettled && errors.Is(err, store.ErrUnavailable):
 			unsettled = true
 		case err != nil:
-			return nil, err
+			return nil, e.explain(ctx, err, current)
 		}
 		select {
 		case <-ctx.Done():
@@ -165,6 +185,9 @@
 	if done != nil || err != nil {
 		return done, err
 	}
+	if same, err := unchanged(current.Document, p.Edits); same || err != nil {
+		return nil, errors.WithStack(cmp.Or(err, ErrUnchanged))
+	}
 	doc, err := Apply(current.Document, p.Edits)
 	if err != nil {
 		return nil, err
@@ -228,7 +251,18 @@
 	if change.Number > HistoryLength {
 		txn.Deletes = []string{e.historyKey(change.Number - HistoryLength)}
 	}
-	return txn, nil
+	return txn, checkSizes(txn)
+}
+
+// checkSizes refuses a transaction with a value that the store does not take.
+func checkSizes(txn store.Txn) error {
+	for _, put := range txn.Puts {
+		if len(put.Value) > MaxValueBytes {
+			return errors.Errorf("the change writes %d bytes under one key and the store takes %d; make it in several smaller changes",
+				len(put.Value), MaxValueBytes)
+		}
+	}
+	return nil
 }
 
 func (e *Editor) historyKey(number uint64) string {
@@ -248,7 +282,7 @@
 func (e *Editor) change(ctx context.Context, number uint64) (*Change, error) {
 	listing, err := e.store.Get(ctx, e.historyKey(number))
 	if err != nil {
-		return nil, err
+		return nil, unanswered(err)
 	}
 	if len(listing.Records) == 0 {
 		return nil, errors.Errorf("change %d is no longer kept", number)
@@ -269,7 +303,7 @@
 func (e *Editor) History(ctx context.Context) ([]*Change, error) {
 	listing, err := e.store.List(ctx, e.prefix+HistoryPrefix)
 	if err != nil {
-		return nil, err
+		return nil, unanswered(err)
 	}
 	var changes []*Change
 	for _, record := range slices.Backward(listing.Records) {
@@ -288,21 +322,28 @@
 	if err != nil {
 		return nil, err
 	}
-	edits, err := Diff(current.Document, wanted)
-	if err != nil {
-		return nil, err
-	}
+	edits := Diff(current.Document, wanted)
 	return e.Commit(ctx, Proposal{Author: author, Edits: edits})
 }
 
-// Undo proposes the inverse of a past change as a new one.
-func (e *Editor) Undo(ctx context.Context, number uint64, author string) (*Change, error) {
+// Inverse returns the edits that take a past change back.
+func (e *Editor) Inverse(ctx context.Context, number uint64) ([]Edit, error) {
 	change, err := e.change(ctx, number)
 	if err != nil {
 		return nil, err
 	}
-	note := fmt.Sprintf("undo of change %d", number)
-	return e.Commit(ctx, Proposal{Author: author, Note: note, Edits: Invert(change.Edits)})
+	return Invert(change.Edits), nil
+}
+
+// Undo proposes the inverse of a past change as a new one. Its ID and author
+// are those of the proposal.
+func (e *Editor) Undo(ctx context.Context, number uint64, p Proposal) (*Change, error) {
+	var err error
+	if p.Edits, err = e.Inverse(ctx, number); err != nil {
+		return nil, err
+	}
+	p.Note = fmt.Sprintf("undo of change %d", number)
+	return e.Commit(ctx, p)
 }
 
 // Merge returns the edits that a whole document asks for. The document's
@@ -325,5 +366,5 @@
 		}
 		base.Change = config.Change{Number: number - 1}
 	}
-	return Diff(base, wanted)
+	return Diff(base, wanted), nil
 }
--- a/edit/tree.go
+++ b/edit/tree.go
@@ -16,19 +16,21 @@
 
 const idField = "id"
 
-// collectionNames are the document's collections in their order.
-var collectionNames = namesOfCollections()
+// collectionNames are the document's collections in their order;
+// collectionFields are the places of their fields in config.Document.
+var collectionNames, collectionFields = collectionsOfDocument()
 
-func namesOfCollections() []string {
+func collectionsOfDocument() ([]string, []int) {
 	var names []string
+	var fields []int
 	t := reflect.TypeFor[config.Document]()
 	for i := range t.NumField() {
 		if t.Field(i).Type.Kind() == reflect.Slice {
 			name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-			names = append(names, name)
+			names, fields = append(names, name), append(fields, i)
 		}
 	}
-	return names
+	return names, fields
 }
 
 func isCollection(name string) bool { return slices.Contains(collectionNames, name) }
@@ -36,22 +38,36 @@
 // rawElement has an element's fields by name, as the json package reads them.
 type rawElement map[string]json.RawMessage
 
-// rawDocument has the document's collections by name.
-type rawDocument map[string][]rawElement
-
 // field is one named value of an element.
 type field struct {
 	name  string
 	value json.RawMessage
 }
 
-// element is one entry of a collection with its fields ordered by name.
+// element is one entry of a collection. It is taken apart into its fields,
+// ordered by name, when one of them is asked for.
 type element struct {
-	id     string
+	id string
+	// typed is the entry as the document has it; the zero value if the element
+	// was changed.
+	typed  reflect.Value
 	fields []field
 }
 
+// load takes the element apart.
+func (e *element) load() {
+	if e.fields != nil || !e.typed.IsValid() {
+		return
+	}
+	// Entries of a document are plain data, which the json package always encodes.
+	data, _ := json.Marshal(e.typed.Interface())
+	var raw rawElement
+	_ = json.Unmarshal(data, &raw)
+	e.fields = fieldsOf(raw)
+}
+
 func (e *element) get(name string) json.RawMessage {
+	e.load()
 	for _, f := range e.fields {
 		if f.name == name {
 			return f.value
@@ -60,16 +76,24 @@
 	return nil
 }
 
-func (e *element) set(name string, value json.RawMessage) {
-	e.fields = slices.DeleteFunc(e.fields, func(f field) bool { return f.name == name })
-	if len(value) == 0 {
-		return
+// with returns a copy of the element with another value of a field.
+func (e *element) with(name string, value json.RawMessage) *element {
+	e.load()
+	changed := &element{id: e.id}
+	for _, f := range e.fields {
+		if f.name != name {
+			changed.fields = append(changed.fields, f)
+		}
 	}
-	e.fields = append(e.fields, field{name: name, value: value})
-	slices.SortFunc(e.fields, func(a, b field) int { return strings.Compare(a.name, b.name) })
+	if len(value) > 0 {
+		changed.fields = append(changed.fields, field{name: name, value: value})
+	}
+	sortFields(changed.fields)
+	return changed
 }
 
 func (e *element) json() json.RawMessage {
+	e.load()
 	raw := make(rawElement, len(e.fields))
 	for _, f := range e.fields {
 		raw[f.name] = f.value
@@ -78,18 +102,26 @@
 	return data
 }
 
-func newElement(raw rawElement) *element {
-	e := &element{}
+// fieldsOf returns the fields that are present, ordered by name.
+func fieldsOf(raw rawElement) []field {
+	var fields []field
 	for name, value := range raw {
-		e.set(name, value)
+		if len(value) > 0 {
+			fields = append(fields, field{name: name, value: value})
+		}
 	}
-	_ = json.Unmarshal(raw[idField], &e.id)
-	return e
+	sortFields(fields)
+	return fields
+}
+
+func sortFields(fields []field) {
+	slices.SortFunc(fields, func(a, b field) int { return strings.Compare(a.name, b.name) })
 }
 
 func unionNames(a, b *element) []string {
 	var names []string
 	for _, e := range []*element{a, b} {
+		e.load()
 		for _, f := range e.fields {
 			names = append(names, f.name)
 		}
@@ -102,54 +134,53 @@
 type collection struct {
 	name     string
 	elements []*element
+	// index has the positions of the elements by id; nil until one is looked
+	// for, and again when an element was removed.
+	index map[string]int
 }
 
-func (c *collection) find(id string) *element {
-	for _, e := range c.elements {
-		if e.id == id {
-			return e
+// position returns the place of the element, or -1. Of two with the same id it
+// is the first.
+func (c *collection) position(id string) int {
+	if c.index == nil {
+		c.index = make(map[string]int, len(c.elements))
+		for i, e := range slices.Backward(c.elements) {
+			c.index[e.id] = i
 		}
 	}
+	if i, ok := c.index[id]; ok {
+		return i
+	}
+	return -1
+}
+
+func (c *collection) find(id string) *element {
+	if i := c.position(id); i >= 0 {
+		return c.elements[i]
+	}
 	return nil
 }
 
-// tree is a document taken apart into named fields.
+// tree is a document taken apart into named elements. The document is not
+// changed.
 type tree struct {
 	collections []collection
 	change      config.Change
 }
 
-func treeOf(doc *config.Document) (*tree, error) {
+func treeOf(doc *config.Document) *tree {
 	t := &tree{change: doc.Change}
-	plain := *doc
-	plain.Change = config.Change{}
-	data, err := json.Marshal(&plain)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode document")
-	}
-	var parts map[string]json.RawMessage
-	if err := json.Unmarshal(data, &parts); err != nil {
-		return nil, errors.Wrap(err, "take document apart")
-	}
-	for _, name := range collectionNames {
+	value := reflect.ValueOf(*doc)
+	for i, name := range collectionNames {
 		c := collection{name: name}
-		var elements []rawElement
-		if err := json.Unmarshal(orNull(parts[name]), &elements); err != nil {
-			return nil, errors.Wrapf(err, "take %s apart", name)
-		}
-		for _, raw := range elements {
-			c.elements = append(c.elements, newElement(raw))
+		list := value.Field(collectionFields[i])
+		for j := range list.Len() {
+			entry := list.Index(j)
+			c.elements = append(c.elements, &element{id: entry.FieldByName("ID").String(), typed: entry})
 		}
 		t.collections = append(t.collections, c)
 	}
-	return t, nil
-}
-
-func orNull(data json.RawMessage) json.RawMessage {
-	if data == nil {
-		return json.RawMessage("null")
-	}
-	return data
+	return t
 }
 
 func (t *tree) collection(name string) *collection {
@@ -177,21 +208,22 @@
 	if p.field == "" {
 		return c.setElement(p.id, value)
 	}
-	e := c.find(p.id)
-	if e == nil {
+	at := c.position(p.id)
+	if at < 0 {
 		return errors.Errorf("%s has no %q", p.collection, p.id)
 	}
 	if p.field == idField {
 		return errors.New("an id cannot be changed; remove the element and add a new one")
 	}
-	e.set(p.field, canonical(value))
+	c.elements[at] = c.elements[at].with(p.field, canonical(value))
 	return nil
 }
 
 func (c *collection) setElement(id string, value json.RawMessage) error {
-	at := slices.IndexFunc(c.elements, func(e *element) bool { return e.id == id })
+	at := c.position(id)
 	if len(value) == 0 {
 		c.elements = slices.Delete(c.elements, at, at+1)
+		c.index = nil
 		return nil
 	}
 	var raw rawElement
@@ -199,35 +231,27 @@
 		return errors.Errorf("/%s/%s: expected an object", c.name, id)
 	}
 	raw[idField], _ = json.Marshal(id)
+	changed := &element{id: id, fields: fieldsOf(raw)}
 	if at >= 0 {
-		c.elements[at] = newElement(raw)
+		c.elements[at] = changed
 		return nil
 	}
-	c.elements = append(c.elements, newElement(raw))
+	c.index[id] = len(c.elements)
+	c.elements = append(c.elements, changed)
 	return nil
 }
 
-// document puts the tree together and validates it. Findings name elements by
-// their id.
+// document puts the tree together and validates it. Elements that were not
+// changed are shared with the document that the tree was made of. Findings name
+// elements by their id.
 func (t *tree) document() (*config.Document, error) {
-	raw := make(rawDocument, len(t.collections))
-	for _, c := range t.collections {
-		raw[c.name] = []rawElement{}
-		for _, e := range c.elements {
-			fields := make(rawElement, len(e.fields))
-			for _, f := range e.fields {
-				fields[f.name] = f.value
-			}
-			raw[c.name] = append(raw[c.name], fields)
-		}
-	}
-	data, err := json.Marshal(raw)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode document")
-	}
 	doc := &config.Document{}
+	value := reflect.ValueOf(doc).Elem()
 	findings := &finding.List{}
-	jsonc.Decode(data, doc, findings)
+	for i := range t.collections {
+		c := &t.collections[i]
+		c.decode(value.Field(collectionFields[i]), findings)
+	}
 	if findings.Err() == nil {
 		doc.Validate(findings)
 	}
@@ -235,6 +259,25 @@
 	return doc, t.name(findings)
 }
 
+// decode fills a list of the document with the elements.
+func (c *collection) decode(list reflect.Value, findings *finding.List) {
+	if len(c.elements) == 0 {
+		return
+	}
+	list.Set(reflect.MakeSlice(list.Type(), len(c.elements), len(c.elements)))
+	for i, e := range c.elements {
+		if e.typed.IsValid() {
+			list.Index(i).Set(e.typed)
+			continue
+		}
+		found := &finding.List{}
+		jsonc.Decode(e.json(), list.Index(i).Addr().Interface(), found)
+		for _, f := range found.Findings() {
+			findings.Addf("/"+c.name+"/"+strconv.Itoa(i)+f.Field, "%s", f.Message)
+		}
+	}
+}
+
 // name turns the positions in the findings' fields into ids.
 func (t *tree) name(findings *finding.List) error {
 	if findings.Err() == nil {
--- a/internal/bench/decisions.go
+++ b/internal/bench/decisions.go
@@ -11,6 +11,7 @@
 
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/edit"
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/ledger"
 	"github.com/mangomast/mangomast/membership"
@@ -248,7 +249,12 @@
 		assembled, _ := fresh.Document(whole.head)
 		return config.NewSnapshot(assembled, 1)
 	})
+	editing, err := editRow(doc, whole)
+	if err != nil {
+		return nil, err
+	}
 	return []DecisionRow{
+		editing,
 		{Name: "document in memory", Entries: whole.bytes, BytesPerEntry: snapshotBytes / float64(whole.bytes)},
 		{Name: "change: bytes written", Entries: whole.bytes, Bytes: change.bytes},
 		{Name: "change: bytes to each node", Entries: whole.bytes, Bytes: len(encodedDelta)},
@@ -261,6 +267,23 @@
 	}, nil
 }
 
+// editRow measures what one operator's change of one field costs the node that
+// takes it: the preview, then the check, the sections and the writes of the
+// commit. Reads and writes of the store are left out.
+func editRow(doc *config.Document, whole *sectioned) (DecisionRow, error) {
+	edits := []edit.Edit{{Field: "/organisations/" + doc.Organisations[0].ID + "/rate", Old: []byte("100"), New: []byte("7")}}
+	if _, err := edit.Apply(doc, edits); err != nil {
+		return DecisionRow{}, err
+	}
+	cost := nanos(func(int) {
+		_, _ = edit.Apply(doc, edits)
+		edited, _ := edit.Apply(doc, edits)
+		edited.Change.Number = doc.Change.Number + 1
+		_, _ = section(edited, doc, whole.head)
+	})
+	return DecisionRow{Name: "change: previewed and committed", Entries: whole.bytes, Nanos: cost}, nil
+}
+
 // replaced returns the values with the newer ones in the place of those of the
 // same name.
 func replaced(values, newer []revision.Value) []revision.Value {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -143,12 +143,9 @@
 			RetryBudget: 2, MaxRequestBytes: 1 << 20, MaxAnswerBytes: 8 << 20,
 		})
 	}
-	edits, err := edit.Diff(&config.Document{}, doc)
-	if err != nil {
-		return err
-	}
+	edits := edit.Diff(&config.Document{}, doc)
 	editor := edit.NewEditor(etcd.New(etcd.Options{Endpoints: []string{f.storeURL}}), "/mangomast/", clockwork.NewRealClock())
-	_, err = editor.Commit(ctx, edit.Proposal{Author: "demo", Note: "first document", Edits: edits})
+	_, err := editor.Commit(ctx, edit.Proposal{Author: "demo", Note: "first document", Edits: edits})
 	return err
 }
 
--- a/jsonc/jsonc.go
+++ b/jsonc/jsonc.go
@@ -15,8 +15,9 @@
 	"github.com/mangomast/mangomast/finding"
 )
 
-// MaxBytes bounds the size of a document.
-const MaxBytes = 1 << 20
+// MaxBytes bounds the size of a document. It leaves room for a fleet's whole
+// configuration, which the store keeps in parts.
+const MaxBytes = 16 << 20
 
 // Document is a parsed JSON document that remembers where its fields stand.
 type Document struct {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -55,6 +55,8 @@
 
 // UndoRequest asks to take a change back by POST to PathUndo.
 type UndoRequest struct {
+	// ID makes the request safe to send twice.
+	ID     string `json:"id,omitempty"`
 	Number uint64 `json:"number"`
 }
 
--- a/plugin/console/pages.go
+++ b/plugin/console/pages.go
@@ -67,10 +67,7 @@
 	if err != nil {
 		return m.refuse(c, err)
 	}
-	reader, err := edit.NewReader(current.Document)
-	if err != nil {
-		return m.refuse(c, err)
-	}
+	reader := edit.NewReader(current.Document)
 	content := collectionContent{Collection: spec, Keys: spec.Name == "keys"}
 	for _, id := range reader.IDs(spec.Name) {
 		opened, err := openForm(spec, id, reader)
@@ -107,10 +104,7 @@
 	if err != nil {
 		return m.refuse(c, err)
 	}
-	reader, err := edit.NewReader(current.Document)
-	if err != nil {
-		return m.refuse(c, err)
-	}
+	reader := edit.NewReader(current.Document)
 	opened, err := openForm(spec, c.Param("id"), reader)
 	if err != nil {
 		return m.refuse(c, err)
@@ -266,7 +260,7 @@
 	}
 	ctx, cancel := storeContext(c)
 	defer cancel()
-	change, err := m.service.Editor.Undo(ctx, number, sessionOf(c).operator)
+	change, err := m.service.Editor.Undo(ctx, number, edit.Proposal{Author: sessionOf(c).operator})
 	return m.committed(c, change, err)
 }
 
--- a/plugin/operator/api.go
+++ b/plugin/operator/api.go
@@ -137,7 +137,7 @@
 	}
 	ctx, cancel := storeContext(c)
 	defer cancel()
-	change, err := m.service.Editor.Undo(ctx, request.Number, author(c))
+	change, err := m.service.Editor.Undo(ctx, request.Number, edit.Proposal{ID: request.ID, Author: author(c)})
 	m.logChange(change, err)
 	return m.answer(c, change, err)
 }
