Hand an owner's book to the next owner on a planned stop

Cause: an owner that stops is replaced like a lost one. Its successor starts with an empty bucket once the table is accepted, and counts the whole limit as out until each holder has reported; the tokens and the reserve of the old owner are missing for the bound of a proof.

Excluded: starting the successor earlier without the book; it would have to count the whole limit as out all the same.

Change: an owner that learns that the table names another one closes its book (its tokens, the records with what is left of their leases, what is unknown) and sends it to the next owner, which may begin before the term is accepted, as nothing is out but what the book counts. A lost book costs what it did before; a second one, or one that comes after the term began, is not used. A relay that stops replaces itself in the table at once. A holder that stops gives back its shares again if nobody answered.

--- a/internal/bench/quota.go
+++ b/internal/bench/quota.go
@@ -14,6 +14,7 @@
 
 func init() {
 	Register(Case{Name: "quota", Help: "rate and burst over all VMs while demand moves and owners, ingress nodes, the store and a region fail", Run: runQuota})
+	Register(Case{Name: "quota-stop", Help: "the same while owners and ingress nodes are stopped as planned", Run: runQuotaStop})
 }
 
 const (
@@ -89,10 +90,32 @@
 		{name: "ingress killed", length: 4 * time.Second, begin: killIngress},
 		{name: "region cut", length: 5 * time.Second, begin: cutRegion},
 		{name: "region back", length: 2 * time.Second},
-		{name: "owner stopped", length: 4 * time.Second, begin: stopOwner},
 	}
 }
 
+// stopPhases are planned stops, in which the share of requests that is wrongly
+// refused is bounded as in calm.
+func stopPhases() []quotaPhase {
+	return []quotaPhase{
+		{name: "calm", bounded: true, length: 3 * time.Second},
+		{name: "owner stopped", bounded: true, length: 4 * time.Second, begin: stopOwner},
+		{name: "owner back", bounded: true, length: 2 * time.Second},
+		{name: "next owner stopped", bounded: true, length: 4 * time.Second, begin: stopOwner},
+		{name: "next owner back", bounded: true, length: 2 * time.Second},
+		{name: "holder stopped", bounded: true, length: 4 * time.Second, begin: stopHolder},
+		{name: "holder back", bounded: true, length: 2 * time.Second},
+	}
+}
+
+func runQuotaStop(ctx context.Context, env *Env) (*Report, error) {
+	figures := &quotaFigures{}
+	phases := stopPhases()
+	if err := figures.measure(ctx, env, phases); err != nil {
+		return nil, err
+	}
+	return figures.report(phases), nil
+}
+
 func runQuota(ctx context.Context, env *Env) (*Report, error) {
 	figures := &quotaFigures{}
 	phases := quotaPhases(env.Duration)
@@ -175,12 +198,31 @@
 	if err != nil {
 		return nil, err
 	}
-	q.setAway(owner, true)
+	return q.stop(owner)
+}
+
+// stopHolder does the same to the VM that has most of the demand, if that does
+// not own the organisation.
+func stopHolder(ctx context.Context, q *quotaRun) (func() error, error) {
+	owner, err := q.fleet.Owner(ctx, q.keys[0].Organisation)
+	if err != nil {
+		return nil, err
+	}
+	node := q.target(0, 0)
+	if node == owner {
+		node = q.target(0, 1)
+	}
+	return q.stop(node)
+}
+
+// stop tells a node to stop and returns how to start it again.
+func (q *quotaRun) stop(node *rig.Node) (func() error, error) {
+	q.setAway(node, true)
 	return func() error {
-		<-owner.Process.Done()
-		q.setAway(owner, false)
-		return q.fleet.StartNode(owner)
-	}, owner.Process.Terminate()
+		<-node.Process.Done()
+		q.setAway(node, false)
+		return q.fleet.StartNode(node)
+	}, node.Process.Terminate()
 }
 
 func killOwner(ctx context.Context, q *quotaRun) (func() error, error) {
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -45,6 +45,8 @@
 	// KindQuotaRecall asks a holder for what it can spare; KindQuota carries
 	// its asks.
 	KindQuotaRecall Kind = 30
+	// KindQuotaBook carries an owner's book to the next owner.
+	KindQuotaBook Kind = 31
 )
 
 // KindClaim asks for, or settles, a send of a request that its caller may send
--- a/plugin/quota/holders.go
+++ b/plugin/quota/holders.go
@@ -342,16 +342,33 @@
 
 // release gives back every share.
 func (s *holders) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	var group sync.WaitGroup
 	for _, h := range s.all() {
+		group.Go(func() { s.giveBack(ctx, h) })
+	}
+	group.Wait()
+}
+
+// giveBack gives back a share, again if its owner has not answered, as there
+// may be another one by then.
+func (s *holders) giveBack(ctx context.Context, h *holding) {
+	for ctx.Err() == nil {
 		h.mu.Lock()
 		now := s.follow(h)
 		owner, owned := h.owner, h.owned
 		ask := h.holder.Release(now)
 		h.mu.Unlock()
-		if owned {
-			group.Go(func() { _, _ = s.exchange(ctx, owner, ask) })
+		if !owned {
+			return
+		}
+		try, cancel := context.WithTimeout(ctx, askTimeout)
+		_, err := s.exchange(try, owner, ask)
+		cancel()
+		if err == nil {
+			return
 		}
+		s.clock.Sleep(minAskPause)
 	}
-	group.Wait()
 }
--- a/plugin/quota/keeper.go
+++ b/plugin/quota/keeper.go
@@ -104,8 +104,12 @@
 }
 
 // rank returns how many relays write before this one: those of failure domains
-// that come first, and those before it in its own.
+// that come first, and those before it in its own. A node that stops replaces
+// itself at once.
 func (k *tableKeeper) rank(view *membership.View) int {
+	if k.members.Self().State == membership.Leaving {
+		return 0
+	}
 	seen := map[string]bool{}
 	var domains []string
 	for _, entry := range view.All() {
--- a/plugin/quota/owners.go
+++ b/plugin/quota/owners.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/mangomast/mangomast/config"
@@ -27,6 +28,11 @@
 	addresses map[quota.HolderID]string
 	// settled is the snapshot that needs no further look.
 	settled *config.Snapshot
+	// books are those handed over for terms that this node does not know yet,
+	// by organisation.
+	books map[string]quota.Book
+	// handing counts the books on their way to other owners.
+	handing int
 }
 
 // run takes up organisations as soon as their term is accepted, and drops
@@ -59,9 +65,10 @@
 			settled = s.take(snapshot, entry) && settled
 		}
 	}
-	for organisation := range s.byOrganisation {
+	for organisation, owner := range s.byOrganisation {
 		if !mine[organisation] {
 			delete(s.byOrganisation, organisation)
+			s.handOver(snapshot, organisation, owner)
 		}
 	}
 	if len(s.byOrganisation) == 0 {
@@ -72,8 +79,8 @@
 	}
 }
 
-// take begins a term once it is accepted on every node that may serve, and
-// tells its owner when the proofs of earlier terms have run out. It returns
+// take begins a term once it has its predecessor's book or is accepted on every
+// node that may serve, and tells its owner when the proofs of earlier terms have run out. It returns
 // whether there is no more to do. The caller holds the mutex.
 func (s *owners) take(snapshot *config.Snapshot, entry config.Owner) bool {
 	org := snapshot.Organisation(entry.Organisation)
@@ -82,13 +89,10 @@
 	}
 	now, owner := s.clock.Now(), s.byOrganisation[entry.Organisation]
 	if owner == nil || owner.Term() != entry.Term {
-		if s.config.Accepted() < snapshot.Owners.Revision || !s.config.Fresh() {
+		if owner = s.begin(now, snapshot, entry, org); owner == nil {
 			return false
 		}
-		limit := quota.Limit{Rate: org.Rate, Burst: org.Burst}
-		owner = quota.NewOwner(now, entry.Term, limit, s.freshness.ProofBound(org))
 		s.byOrganisation[entry.Organisation] = owner
-		s.log.WithField("organisation", entry.Organisation).WithField("term", entry.Term).Info("owns the organisation's rate")
 	}
 	if s.freshness.Lapsed() >= snapshot.Owners.Revision {
 		owner.Supersede(now)
@@ -96,6 +100,26 @@
 	return owner.Settled(now)
 }
 
+// begin returns the owner of a term that may begin now; nil if it may not. The
+// caller holds the mutex.
+func (s *owners) begin(now time.Time, snapshot *config.Snapshot, entry config.Owner, org *config.Organisation) *quota.Owner {
+	if !s.config.Fresh() {
+		return nil
+	}
+	book, handed := s.books[entry.Organisation]
+	handed = handed && book.Term+1 == entry.Term
+	if !handed && s.config.Accepted() < snapshot.Owners.Revision {
+		return nil
+	}
+	delete(s.books, entry.Organisation)
+	s.log.WithFields(log.Fields{"organisation": entry.Organisation, "term": entry.Term, "handed_over": handed}).Info("owns the organisation's rate")
+	if handed {
+		return quota.NewOwnerFromBook(now, book)
+	}
+	limit := quota.Limit{Rate: org.Rate, Burst: org.Burst}
+	return quota.NewOwner(now, entry.Term, limit, s.freshness.ProofBound(org))
+}
+
 // owner returns the organisation's owner if this node is it at this moment.
 // The caller holds the mutex.
 func (s *owners) owner(organisation string) (*quota.Owner, bool) {
--- a/plugin/quota/quota.go
+++ b/plugin/quota/quota.go
@@ -45,7 +45,10 @@
 	// at the organisations that this node owns.
 	tickInterval = 20 * time.Millisecond
 	termInterval = 100 * time.Millisecond
-	drainTimeout = time.Second
+	// releaseTimeout and drainTimeout bound how long a node that stops waits
+	// until its shares are given back and its books have arrived.
+	releaseTimeout = time.Second
+	drainTimeout   = 3 * time.Second
 )
 
 func init() {
@@ -122,9 +125,10 @@
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
 	m.holders = &holders{Module: m, byOrganisation: map[string]*holding{}, first: make(chan struct{}, 1)}
-	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}, addresses: map[quota.HolderID]string{}}
+	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}, addresses: map[quota.HolderID]string{}, books: map[string]quota.Book{}}
 	m.keeper = newTableKeeper(m, platform, relays, ctx.Node.Store.Prefix+config.OwnersKey)
 	m.mesh.Handle(mesh.KindQuota, mesh.Typed(m.owners.serveAsk))
+	m.mesh.Handle(mesh.KindQuotaBook, mesh.Typed(m.owners.serveBook))
 	m.mesh.Handle(mesh.KindQuotaRecall, mesh.Typed(m.holders.serveRecall))
 	kernel.Provide[Gate](ctx, m)
 	return nil
@@ -139,11 +143,13 @@
 	}
 }
 
-// Drain implements kernel.Drainer: it gives back this node's shares.
+// Drain implements kernel.Drainer: it gives back this node's shares and waits
+// until other nodes own what this one did.
 func (m *Module) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
 	m.holders.release(ctx)
+	m.owners.awaitHandOver(ctx)
 	return nil
 }
 
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -56,6 +56,8 @@
 	unknownUntil time.Time
 	// withinAt is when the demand was last within the rate.
 	withinAt time.Time
+	// closed owners have handed over their book.
+	closed bool
 }
 
 // NewOwner returns the owner of a term that begins now, once the term is
@@ -113,6 +115,9 @@
 
 // resize gives the owner's own bucket what is not out.
 func (o *Owner) resize() {
+	if o.closed {
+		return
+	}
 	free := o.free()
 	o.bucket.resize(free.Rate, free.Burst)
 }
@@ -129,7 +134,7 @@
 
 // Handle answers an ask. It returns the holders to recall.
 func (o *Owner) Handle(now time.Time, from HolderID, ask Ask) (Answer, []HolderID, error) {
-	if ask.Term != o.term {
+	if ask.Term != o.term || o.closed {
 		return Answer{}, nil, ErrTerm
 	}
 	if ask.Limit != o.limit {
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -13,6 +13,7 @@
 	pauseHolder = iota
 	pauseOwner
 	replaceOwner
+	stopOwner
 	replaceHolder
 	cutHolder
 )
@@ -31,6 +32,8 @@
 			}
 		case replaceOwner:
 			w.changeOwner()
+		case stopOwner:
+			w.stopOwner()
 		case cutHolder:
 			h.cutUntil = w.now + pause
 		case replaceHolder:
@@ -47,7 +50,9 @@
 	{pauseHolder, replaceHolder, pauseOwner},
 	{pauseHolder, replaceOwner},
 	{cutHolder, replaceOwner},
-	{pauseHolder, replaceHolder, pauseOwner, replaceOwner, cutHolder},
+	{stopOwner},
+	{pauseHolder, pauseOwner, stopOwner, replaceHolder},
+	{pauseHolder, replaceHolder, pauseOwner, replaceOwner, stopOwner, cutHolder},
 }
 
 // TestEveryWindowHoldsUnderFaults drives several holders and a chain of owners
@@ -119,3 +124,27 @@
 		assert.Assert(t, float64(len(w.admissions)) >= share*limit.Rate*w.now.Seconds(), "%d admitted", len(w.admissions))
 	}
 }
+
+// refusedAfter returns how many requests were refused of those sent in a time
+// after something was done, with a demand of 0.8 of the rate that moves.
+func refusedAfter(seed uint64, length time.Duration, fault func(*world)) (refused, sent int) {
+	limit := Limit{Rate: 100, Burst: 50}
+	w := moving(seed, limit, 0.8*limit.Rate)
+	w.run(w.now + time.Second)
+	sentBefore, admittedBefore := w.sent, len(w.admissions)
+	fault(w)
+	w.run(w.now + length)
+	sent = w.sent - sentBefore
+	return max(0, sent-(len(w.admissions)-admittedBefore)), sent
+}
+
+// TestPlannedStopOfAnOwner checks that the tokens, the reserve and the records
+// of an owner that stops are of use to the next one at once.
+func TestPlannedStopOfAnOwner(t *testing.T) {
+	refused, sent := 0, 0
+	for seed := range uint64(20) {
+		r, s := refusedAfter(seed, 4*time.Second, (*world).stopOwner)
+		refused, sent = refused+r, sent+s
+	}
+	assert.Assert(t, refused <= sent/100, "%d of %d refused", refused, sent)
+}
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -44,15 +44,18 @@
 // fakeOwner is one owner with its clock's error, the term that it knows and
 // until when that is proven.
 type fakeOwner struct {
-	owner       *Owner
-	drift       float64
-	term        uint64
-	proven      time.Time
-	pausedUntil time.Duration
+	owner *Owner
+	drift float64
+	// number is its own term, term the latest that it knows.
+	number, term uint64
+	proven       time.Time
+	pausedUntil  time.Duration
+	// stops is true if it hands over its book once it knows the next term.
+	stops bool
 }
 
 func (f *fakeOwner) fenced(now time.Time) bool {
-	return f.term != f.owner.Term() || !now.Before(f.proven)
+	return f.owner == nil || f.term != f.owner.Term() || !now.Before(f.proven)
 }
 
 // proofBound is how long a proof counts that a term is the latest.
@@ -130,30 +133,66 @@
 func (w *world) changeOwner() {
 	w.term++
 	term, written := w.term, w.now
+	f := &fakeOwner{drift: w.drift(), number: term}
+	w.owners[term] = f
 	var accept func()
 	accept = func() {
 		everyone := true
 		for _, h := range w.holders {
 			everyone = everyone && h.holder.term >= term
 		}
-		if old := w.owners[term-1]; old != nil && old.term < term {
-			everyone = false
+		for _, old := range w.owners {
+			everyone = everyone && (old.owner == nil || old.term >= term)
 		}
 		if !everyone && w.now < written+proofBound+proofBound/100 {
 			w.after(20*time.Millisecond, accept)
 			return
 		}
-		f := &fakeOwner{drift: w.drift(), term: term}
-		f.owner = NewOwner(clock(w.now, f.drift), term, w.limit, proofBound)
+		now := clock(w.now, f.drift)
+		if f.owner == nil {
+			f.owner = NewOwner(now, term, w.limit, proofBound)
+		}
 		if !everyone {
-			f.owner.Supersede(clock(w.now, f.drift))
+			f.owner.Supersede(now)
 		}
-		w.owners[term] = f
-		w.proveOwner(f)
 	}
+	w.proveOwner(f)
 	w.after(time.Millisecond, accept)
 }
 
+// stopOwner replaces the owner, which hands over its book if it still runs.
+func (w *world) stopOwner() {
+	if f := w.owners[w.term]; f != nil {
+		f.stops = true
+	}
+	w.changeOwner()
+}
+
+// handOver sends the book to the next owner, sometimes twice.
+func (w *world) handOver(f *fakeOwner) {
+	next := w.owners[f.owner.Term()+1]
+	if !f.stops || next == nil || f.term != next.number {
+		return
+	}
+	f.stops = false
+	book := f.owner.HandOver(clock(w.now, f.drift), "org")
+	for range 1 + w.random.IntN(2) {
+		w.send(&next.pausedUntil, func() { w.takeBook(next, book) })
+	}
+}
+
+// takeBook begins the next term before it is accepted, as soon as the node
+// knows of it.
+func (w *world) takeBook(f *fakeOwner, book Book) {
+	switch {
+	case f.owner != nil || f.term > f.number:
+	case f.term < f.number:
+		w.later(20*time.Millisecond, &f.pausedUntil, func() { w.takeBook(f, book) })
+	default:
+		f.owner = NewOwnerFromBook(clock(w.now, f.drift), book)
+	}
+}
+
 // prove gives the node a proof of the latest term again and again. A proof is
 // on its way for a while, which its age includes.
 func (w *world) prove(pausedUntil *time.Duration, drift float64, take func(term uint64, proven time.Time)) {
@@ -176,6 +215,9 @@
 		if term >= f.term {
 			f.term, f.proven = term, proven
 		}
+		if f.owner != nil {
+			w.handOver(f)
+		}
 	})
 }
 
