Let holders lend to each other while their owner does not answer

Cause: while an owner is being replaced nothing moves between the holders.

Change: a holder whose last ask was not answered asks the holders with the largest shares, which the owner names on its answers, for what it misses. A lender takes what it can spare off its share for at most 1 s, and reports it as held until then, so that owners count it as out at the lender and need not know of the loan. A loan never lasts longer than the lender's own share.

The model of all windows lends, with messages lost, late and twice; it fails when the report leaves out what is lent, when a loan outlives the lender's share, when the lender keeps what it lent and when an answer is taken twice.

--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -47,6 +47,8 @@
 	KindQuotaRecall Kind = 30
 	// KindQuotaBook carries an owner's book to the next owner.
 	KindQuotaBook Kind = 31
+	// KindQuotaLoan asks another holder for a part of its share.
+	KindQuotaLoan Kind = 32
 )
 
 // KindClaim asks for, or settles, a send of a request that its caller may send
--- a/plugin/quota/handover.go
+++ b/plugin/quota/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mangomast/mangomast/config"
@@ -60,9 +61,10 @@
 	return nothing{}, nil
 }
 
-// awaitHandOver waits until this node owns nothing and its books have arrived.
+// awaitHandOver waits until this node owns nothing and its books have arrived,
+// if there is a node that may own after it.
 func (s *owners) awaitHandOver(ctx context.Context) {
-	for s.owns() {
+	for s.owns() && s.hasSuccessor() {
 		select {
 		case <-ctx.Done():
 			return
@@ -71,6 +73,14 @@
 	}
 }
 
+// hasSuccessor reports whether this node knows of another one that may own.
+// Nodes that are no relay do not know the whole fleet.
+func (s *owners) hasSuccessor() bool {
+	view, self := s.members.View(), s.mesh.Self().VM
+	others := slices.DeleteFunc(candidatesOf(view), func(c quota.Candidate) bool { return c.VM == self })
+	return len(others) > 0 || !view.Complete()
+}
+
 func (s *owners) owns() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/plugin/quota/holders.go
+++ b/plugin/quota/holders.go
@@ -59,6 +59,8 @@
 	owner    config.Owner
 	owned    bool
 	proof    time.Duration
+	// lenders are asked for loans while the owner does not answer.
+	lenders []lender
 }
 
 // wake lets the waiting requests try again. The caller holds the mutex.
@@ -283,6 +285,7 @@
 	if h.owned && h.holder.Due(now, h.waiting) {
 		go s.ask(h, h.owner, h.holder.Ask(now, h.waiting))
 	}
+	s.borrow(h, now)
 }
 
 // ask sends one ask to the owner and takes in its answer.
@@ -301,12 +304,13 @@
 	} else {
 		h.pause = 0
 		s.metrics.askDuration.Observe(now.Sub(started).Seconds())
-		h.holder.Apply(now, answer)
+		h.holder.Apply(now, answer.Answer)
+		h.learnLenders(answer.Lenders, s.mesh.Self().VM)
 	}
 	h.wake()
 }
 
-func (s *holders) exchange(ctx context.Context, owner config.Owner, ask quota.Ask) (answer quota.Answer, err error) {
+func (s *holders) exchange(ctx context.Context, owner config.Owner, ask quota.Ask) (answer answerMessage, err error) {
 	if owner.VM == s.mesh.Self().VM {
 		return s.owners.answer(s.mesh.Self(), ask)
 	}
--- /dev/null
+++ b/plugin/quota/lending.go
@@ -0,0 +1,114 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/mesh"
+	"github.com/mangomast/mangomast/quota"
+)
+
+const (
+	// maxLenders bounds the holders that an owner names to others, and
+	// lendersLife how long it names the same ones.
+	maxLenders  = 4
+	lendersLife = 500 * time.Millisecond
+	// borrowTimeout bounds a message to a lender; a loan that comes later
+	// helps no request that waits.
+	borrowTimeout = 300 * time.Millisecond
+)
+
+var errNoShare = errors.New("this node has no share of the organisation")
+
+// lender is a holder with a large share.
+type lender struct {
+	VM      string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+}
+
+// answerMessage is an owner's answer on its way to a holder.
+type answerMessage struct {
+	Answer quota.Answer `cbor:"1,keyasint"`
+	// Lenders can lend to the holder while the owner does not answer.
+	Lenders []lender `cbor:"2,keyasint,omitempty"`
+}
+
+// namedLenders are the holders that the owner of an organisation names.
+type namedLenders struct {
+	chosen  time.Time
+	lenders []lender
+}
+
+// lendersOf returns the organisation's holders with the largest shares. The
+// caller holds the mutex.
+func (s *owners) lendersOf(organisation string, owner *quota.Owner) []lender {
+	now := s.clock.Now()
+	named := s.lenders[organisation]
+	if now.Sub(named.chosen) < lendersLife {
+		return named.lenders
+	}
+	named = namedLenders{chosen: now}
+	for _, id := range owner.Largest(maxLenders) {
+		address, ok := s.addresses[id]
+		if id.VM == s.mesh.Self().VM {
+			address, ok = s.members.Self().MeshAddress, true
+		}
+		if ok {
+			named.lenders = append(named.lenders, lender{VM: id.VM, Address: address})
+		}
+	}
+	s.lenders[organisation] = named
+	return named.lenders
+}
+
+// learnLenders takes in whom to borrow from. The caller holds the mutex.
+func (h *holding) learnLenders(lenders []lender, self string) {
+	h.lenders = h.lenders[:0:0]
+	for _, other := range lenders {
+		if other.VM != self {
+			h.lenders = append(h.lenders, other)
+		}
+	}
+}
+
+// borrow asks other holders for loans if that is due. The caller holds the
+// holding's mutex.
+func (s *holders) borrow(h *holding, now time.Time) {
+	for i, ask := range h.holder.Borrow(now, h.waiting, len(h.lenders)) {
+		go s.askLoan(h, h.lenders[i], ask)
+	}
+}
+
+// askLoan asks one holder for a loan and takes it in.
+func (s *holders) askLoan(h *holding, from lender, ask quota.Borrow) {
+	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	defer cancel()
+	var loan quota.Loan
+	err := s.mesh.Exchange(ctx, mesh.Peer{VM: from.VM, Address: from.Address}, mesh.KindQuotaLoan, ask, &loan)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		s.log.WithError(err).WithField("organisation", ask.Organisation).WithField("lender", from.VM).Debug("lender did not answer")
+		h.holder.ForgetBorrow(ask.Number)
+		return
+	}
+	if h.holder.TakeLoan(s.clock.Now(), loan) {
+		s.metrics.borrowed.WithLabelValues(s.metrics.label(ask.Organisation)).Inc()
+		h.wake()
+	}
+}
+
+// serveLoan lends to another holder.
+func (s *holders) serveLoan(_ context.Context, _ mesh.Identity, ask quota.Borrow) (quota.Loan, error) {
+	s.mu.Lock()
+	h := s.byOrganisation[ask.Organisation]
+	s.mu.Unlock()
+	if h == nil {
+		return quota.Loan{}, errNoShare
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.holder.Lend(s.follow(h), ask)
+}
--- a/plugin/quota/metrics.go
+++ b/plugin/quota/metrics.go
@@ -10,6 +10,7 @@
 	granted     *prometheus.CounterVec
 	admitted    *prometheus.CounterVec
 	refused     *prometheus.CounterVec
+	borrowed    *prometheus.CounterVec
 	askDuration prometheus.Histogram
 
 	organisations *metriclabel.Set
@@ -20,6 +21,7 @@
 		granted:  organisationCounter("granted_tokens_total", "Tokens granted by this node as owner, by organisation."),
 		admitted: organisationCounter("admitted_requests_total", "Requests that spent a token on this node, by organisation."),
 		refused:  organisationCounter("refused_requests_total", "Requests refused on this node for lack of a token, by organisation."),
+		borrowed: organisationCounter("loans_total", "Loans that this node had from others while an owner did not answer, by organisation."),
 		askDuration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "mangomast_quota_ask_duration_seconds",
 			Help:    "Time from a holder's ask to the owner's answer.",
@@ -27,7 +29,7 @@
 		}),
 		organisations: metriclabel.NewSet(metriclabel.MaxOrganisations),
 	}
-	registerer.MustRegister(m.granted, m.admitted, m.refused, m.askDuration)
+	registerer.MustRegister(m.granted, m.admitted, m.refused, m.borrowed, m.askDuration)
 	return m
 }
 
--- a/plugin/quota/owners.go
+++ b/plugin/quota/owners.go
@@ -33,6 +33,8 @@
 	books map[string]quota.Book
 	// handing counts the books on their way to other owners.
 	handing int
+	// lenders are the holders named to others, by organisation.
+	lenders map[string]namedLenders
 }
 
 // run takes up organisations as soon as their term is accepted, and drops
@@ -68,6 +70,7 @@
 	for organisation, owner := range s.byOrganisation {
 		if !mine[organisation] {
 			delete(s.byOrganisation, organisation)
+			delete(s.lenders, organisation)
 			s.handOver(snapshot, organisation, owner)
 		}
 	}
@@ -142,7 +145,7 @@
 }
 
 // serveAsk answers another node's holder.
-func (s *owners) serveAsk(_ context.Context, from mesh.Identity, message askMessage) (quota.Answer, error) {
+func (s *owners) serveAsk(_ context.Context, from mesh.Identity, message askMessage) (answerMessage, error) {
 	s.mu.Lock()
 	s.addresses[quota.HolderID{VM: from.VM, Incarnation: from.Incarnation}] = message.Address
 	s.mu.Unlock()
@@ -150,23 +153,23 @@
 }
 
 // answer answers a holder.
-func (s *owners) answer(from mesh.Identity, ask quota.Ask) (quota.Answer, error) {
+func (s *owners) answer(from mesh.Identity, ask quota.Ask) (answerMessage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	owner, ok := s.owner(ask.Organisation)
 	if !ok {
-		return quota.Answer{}, errNotOwner
+		return answerMessage{}, errNotOwner
 	}
 	holder := quota.HolderID{VM: from.VM, Incarnation: from.Incarnation}
 	answer, recalls, err := owner.Handle(s.clock.Now(), holder, ask)
 	if err != nil {
-		return answer, err
+		return answerMessage{}, err
 	}
 	s.metrics.granted.WithLabelValues(s.metrics.label(ask.Organisation)).Add(answer.Tokens)
 	for _, id := range recalls {
 		go s.recall(id, quota.Recall{Organisation: ask.Organisation, Term: ask.Term})
 	}
-	return answer, nil
+	return answerMessage{Answer: answer, Lenders: s.lendersOf(ask.Organisation, owner)}, nil
 }
 
 // recall asks a holder for what it can spare.
--- a/plugin/quota/quota.go
+++ b/plugin/quota/quota.go
@@ -125,10 +125,11 @@
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
 	m.holders = &holders{Module: m, byOrganisation: map[string]*holding{}, first: make(chan struct{}, 1)}
-	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}, addresses: map[quota.HolderID]string{}, books: map[string]quota.Book{}}
+	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}, addresses: map[quota.HolderID]string{}, books: map[string]quota.Book{}, lenders: map[string]namedLenders{}}
 	m.keeper = newTableKeeper(m, platform, relays, ctx.Node.Store.Prefix+config.OwnersKey)
 	m.mesh.Handle(mesh.KindQuota, mesh.Typed(m.owners.serveAsk))
 	m.mesh.Handle(mesh.KindQuotaBook, mesh.Typed(m.owners.serveBook))
+	m.mesh.Handle(mesh.KindQuotaLoan, mesh.Typed(m.holders.serveLoan))
 	m.mesh.Handle(mesh.KindQuotaRecall, mesh.Typed(m.holders.serveRecall))
 	kernel.Provide[Gate](ctx, m)
 	return nil
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -60,11 +60,14 @@
 	exhausted    bool
 	scarce       bool
 	recalled     bool
+	// failing is true from an ask that was not answered to one that was.
+	failing bool
+	loans   loans
 }
 
 // NewHolder returns a holder without a share.
 func NewHolder(organisation string, limit Limit) *Holder {
-	return &Holder{organisation: organisation, limit: limit}
+	return &Holder{organisation: organisation, limit: limit, loans: loans{asked: map[uint64]time.Time{}}}
 }
 
 // SetLimit takes in a changed limit. What is held shrinks in proportion, so
@@ -76,6 +79,7 @@
 	h.advance(now)
 	rate, burst := shrink(limit.Rate, h.limit.Rate), shrink(limit.Burst, h.limit.Burst)
 	h.bucket.resize(h.bucket.rate*rate, h.bucket.capacity*burst)
+	h.loans.shrink(rate, burst)
 	h.target *= burst
 	h.limit = limit
 }
@@ -109,13 +113,16 @@
 	}
 }
 
-// advance mints tokens and drops a share whose lease or proof has run out.
+// advance mints tokens, takes back loans that have ended and drops a share
+// whose lease or proof has run out.
 func (h *Holder) advance(now time.Time) {
+	returned := h.loans.end(now)
 	if !now.Before(h.expires) || !now.Before(h.valid) {
 		h.bucket.resize(0, 0)
-		h.target = 0
+		h.target, returned = 0, Share{}
 	}
 	h.bucket.advance(now)
+	h.bucket.resize(h.bucket.rate+returned.Rate, h.bucket.capacity+returned.Burst)
 }
 
 // Arrive counts a new request in the demand.
@@ -124,7 +131,7 @@
 // Take spends a token for a request, or says why there is none.
 func (h *Holder) Take(now time.Time) Verdict {
 	h.advance(now)
-	if h.bucket.take() {
+	if h.bucket.take() || h.loans.take() {
 		return Admitted
 	}
 	if h.exhausted && now.Before(h.useless) {
@@ -160,7 +167,7 @@
 
 // active reports whether the holder has anything to renew or to give back.
 func (h *Holder) active(now time.Time) bool {
-	return now.Before(h.expires) && (h.bucket.rate > 0 || h.bucket.capacity > 0)
+	return now.Before(h.expires) && (h.bucket.rate > 0 || h.bucket.capacity > 0 || len(h.loans.lent) > 0)
 }
 
 // NextEvent returns when Due or Take may next change by time alone.
@@ -172,6 +179,9 @@
 	if mint, ok := h.bucket.untilToken(); ok && now.Add(mint).Before(next) {
 		next = now.Add(mint)
 	}
+	if mint, ok := h.loans.untilToken(); ok && now.Add(mint).Before(next) {
+		next = now.Add(mint)
+	}
 	return next
 }
 
@@ -186,9 +196,10 @@
 	returned := h.giveBack(waiting)
 	h.number++
 	h.pending, h.recalled, h.askedAt = true, false, now
+	out := h.loans.out()
 	ask := Ask{
 		Organisation: h.organisation, Term: h.term, Number: h.number,
-		Held:     Share{Rate: h.bucket.rate, Burst: h.bucket.capacity},
+		Held:     Share{Rate: h.bucket.rate + out.Rate, Burst: h.bucket.capacity + out.Burst},
 		Returned: returned, Demand: h.demand.rate, Limit: h.limit,
 	}
 	if waiting > 0 || h.demand.rate >= idleDemand {
@@ -213,7 +224,7 @@
 	kept := min(h.bucket.tokens, float64(waiting)+keep)
 	returned := h.bucket.tokens - kept
 	h.bucket.tokens = kept
-	h.bucket.resize(h.bucket.rate, min(max(h.target, kept), h.bucket.capacity-returned))
+	h.bucket.resize(h.bucket.rate, min(max(h.target-h.loans.out().Burst, kept), h.bucket.capacity-returned))
 	return returned
 }
 
@@ -231,7 +242,7 @@
 	if number != h.number {
 		return
 	}
-	h.pending = false
+	h.pending, h.failing = false, true
 	h.exhausted = false
 	h.useless = now.Add(retry)
 	h.nextAsk = h.useless
@@ -242,7 +253,7 @@
 	if !h.pending || answer.Number != h.number || answer.Term != h.term {
 		return false
 	}
-	h.pending = false
+	h.pending, h.failing = false, false
 	h.nextAsk = h.askedAt.Add(answer.Next)
 	h.useless = now.Add(answer.Wait)
 	h.exhausted, h.scarce = answer.Exhausted, answer.Scarce
@@ -253,9 +264,10 @@
 	}
 	h.expires, h.shareTerm, h.valid = expires, h.term, h.proven
 	h.keep, h.target = answer.Keep, answer.Target
-	rate := answer.Share.Rate * shrink(h.limit.Rate, answer.Limit.Rate)
+	out := h.loans.out()
+	rate := answer.Share.Rate*shrink(h.limit.Rate, answer.Limit.Rate) - out.Rate
 	factor := shrink(h.limit.Burst, answer.Limit.Burst)
-	h.bucket.resize(rate, max(h.bucket.capacity, answer.Share.Burst*factor))
+	h.bucket.resize(max(0, rate), max(h.bucket.capacity, answer.Share.Burst*factor-out.Burst))
 	h.bucket.tokens = min(h.bucket.capacity, h.bucket.tokens+answer.Tokens*factor)
 	return true
 }
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -268,3 +268,22 @@
 	}
 	return ids
 }
+
+// Largest returns the holders with the largest shares, at most count, which
+// can lend to others while this owner does not answer.
+func (o *Owner) Largest(count int) []HolderID {
+	var all []*record
+	for _, r := range o.holders.byID {
+		if r.share.Burst >= 1 {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(b.share.Rate, a.share.Rate), cmp.Compare(a.id.VM, b.id.VM))
+	})
+	var ids []HolderID
+	for _, r := range all[:min(len(all), count)] {
+		ids = append(ids, r.id)
+	}
+	return ids
+}
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -148,3 +148,19 @@
 	}
 	assert.Assert(t, refused <= sent/100, "%d of %d refused", refused, sent)
 }
+
+// TestLostOwnerRefusesFew checks that what the demand moves reaches the nodes
+// that need it while an owner is replaced: less than half of the refusals of
+// holders that do not lend remain.
+func TestLostOwnerRefusesFew(t *testing.T) {
+	with, without := 0, 0
+	for seed := range uint64(5) {
+		r, s := refusedAfter(seed, 8*time.Second, (*world).killOwner)
+		with += r
+		t.Logf("%d of %d refused", r, s)
+		r, s = refusedAfter(seed, 8*time.Second, func(w *world) { w.withoutLoans = true; w.killOwner() })
+		without += r
+		t.Logf("%d of %d refused without loans", r, s)
+	}
+	assert.Assert(t, with < without/2, "%d refused, %d without loans", with, without)
+}
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -77,6 +78,8 @@
 	// faultGap is the longest time between two faults.
 	faultGap time.Duration
 	sent     int
+	// withoutLoans keeps holders from lending to each other.
+	withoutLoans bool
 }
 
 var epoch = time.Unix(1_800_000_000, 0)
@@ -257,6 +260,40 @@
 	if w.now < h.pausedUntil || !h.holder.Due(now, len(h.waiting)) {
 		return
 	}
+	w.ask(h, now)
+}
+
+// borrow asks all other holders for loans, sometimes twice.
+func (w *world) borrow(h *fakeHolder) {
+	if w.now < h.pausedUntil || w.withoutLoans {
+		return
+	}
+	lenders := slices.DeleteFunc(slices.Clone(w.holders), func(other *fakeHolder) bool { return other == h })
+	asks := h.holder.Borrow(clock(w.now, h.drift), len(h.waiting), len(lenders))
+	for i, ask := range asks {
+		for range 1 + w.random.IntN(20)/19 {
+			w.send(&lenders[i].pausedUntil, func() { w.lend(lenders[i], h, ask) })
+		}
+	}
+}
+
+func (w *world) lend(lender, h *fakeHolder, ask Borrow) {
+	from := h.id
+	loan, err := lender.holder.Lend(clock(w.now, lender.drift), ask)
+	if err != nil {
+		return
+	}
+	for range 1 + w.random.IntN(20)/19 {
+		w.send(&h.pausedUntil, func() {
+			if h.id == from && h.holder.TakeLoan(clock(w.now, h.drift), loan) {
+				w.retry(h)
+			}
+		})
+	}
+}
+
+// ask sends an ask to the owner.
+func (w *world) ask(h *fakeHolder, now time.Time) {
 	ask := h.holder.Ask(now, len(h.waiting))
 	w.later(300*time.Millisecond, &h.pausedUntil, func() { h.holder.Abandon(clock(w.now, h.drift), ask.Number, 50*time.Millisecond) })
 	f := w.owners[ask.Term]
@@ -299,6 +336,12 @@
 // their way to a holder and what the owner has left exceed the limit.
 func (w *world) conserved() (rate, burst float64) {
 	for _, h := range w.holders {
+		for _, loan := range h.holder.loans.borrowed {
+			if clock(w.now, h.drift).Before(loan.until) {
+				rate += loan.bucket.rate
+				burst += loan.bucket.capacity
+			}
+		}
 		if now := clock(w.now, h.drift); !now.Before(h.holder.expires) || !now.Before(h.holder.valid) {
 			continue
 		}
@@ -320,6 +363,7 @@
 // tick keeps the holder's timers going.
 func (w *world) tick(h *fakeHolder) {
 	w.retry(h)
+	w.borrow(h)
 	w.step(h)
 	w.after(20*time.Millisecond, func() { w.tick(h) })
 }
@@ -343,3 +387,10 @@
 	}
 	return w
 }
+
+// killOwner ends the owner for good and replaces it some seconds later.
+func (w *world) killOwner() {
+	const detection = 3300 * time.Millisecond
+	w.owners[w.term].pausedUntil = time.Hour
+	w.after(detection, w.changeOwner)
+}
