Reclaim the share of a lost node after its soft lease

Cause: a share lasts 7 s, so that it outlives the replacement of an owner. The share of a node that died is missing for as long, often most of the rate.

Change: an answer names an arbiter, another holder. A share ends after a soft lease of 1.5 s, unless its arbiter has extended it to the whole lease, which the holder asks for when its owner does not answer. The owner asks the arbiter about a silent holder after the soft lease, and grants the share to others if it was not extended. A record is closed early only if every share that its holder may have had the same arbiter. An organisation with serve_when_cut_off has no arbiter; its lease covers that time, up to a minute.

Found on the way: an ask that nobody answered gave back tokens and burst, which were lost; holders give back nothing while their owner does not answer. An answer that was applied could still be abandoned.

Changes to the model: tokens on their way count only while the answer can still be taken in, as one whose soft lease has ended no longer is. Arbiters are replaced, paused, and change at random.

The share of an owner's own VM is not reclaimed this way.

--- a/internal/bench/quota.go
+++ b/internal/bench/quota.go
@@ -27,6 +27,8 @@
 	// maxWrongful is the share of requests within the rate that may be refused
 	// in calm and while the store is out.
 	maxWrongful = 0.01
+	// localLength is how long the baseline runs.
+	localLength = 2 * time.Second
 	// storeOutage is the default length of the store's outage.
 	storeOutage = 6 * time.Second
 )
@@ -129,7 +131,7 @@
 }
 
 func (f *quotaFigures) measure(ctx context.Context, env *Env, phases []quotaPhase) error {
-	q, err := startQuota(ctx, env.Seed, quotaplugin.ModeFleet)
+	q, err := startQuota(ctx, env.Seed, quotaplugin.ModeFleet, nil)
 	if err != nil {
 		return err
 	}
@@ -143,12 +145,12 @@
 
 // measureLocal shows what happens without the mechanism.
 func (f *quotaFigures) measureLocal(ctx context.Context, env *Env) error {
-	q, err := startQuota(ctx, env.Seed, quotaplugin.ModeLocal)
+	q, err := startQuota(ctx, env.Seed, quotaplugin.ModeLocal, nil)
 	if err != nil {
 		return err
 	}
 	defer q.fleet.Close()
-	if _, err = q.run(ctx, []quotaPhase{{name: "calm", length: 4 * time.Second}}); err != nil {
+	if _, err = q.run(ctx, []quotaPhase{{name: "calm", length: localLength}}); err != nil {
 		return err
 	}
 	f.LocalExcess, _, err = q.excess()
--- a/internal/bench/quota_run.go
+++ b/internal/bench/quota_run.go
@@ -37,6 +37,7 @@
 // quotaRun is one run of a fleet under load from two organisations: the first
 // within its rate, the second far above.
 type quotaRun struct {
+	doc     *config.Document
 	fleet   *rig.Rig
 	keys    []Key
 	client  *http.Client
@@ -52,8 +53,9 @@
 	cut string
 }
 
-// startQuota starts the fleet with the quota module in the given mode.
-func startQuota(ctx context.Context, seed uint64, mode string) (*quotaRun, error) {
+// startQuota starts the fleet with the quota module in the given mode and with
+// the document as edited.
+func startQuota(ctx context.Context, seed uint64, mode string, edit func(*config.Document)) (*quotaRun, error) {
 	doc := &config.Document{}
 	keys := NewOrganisations(doc, 2, quotaRate, quotaBurst)
 	AddService(doc, "fares", nil)
@@ -63,11 +65,14 @@
 		nodes[i].Modules = map[string]json.RawMessage{string(quotaplugin.ID): module}
 	}
 	AddDomains(doc, nodes)
+	if edit != nil {
+		edit(doc)
+	}
 	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc, LogLevel: "debug"})
 	if err != nil {
 		return nil, err
 	}
-	q := &quotaRun{fleet: fleet, keys: keys, client: newCaller(quotaTimeout), seed: seed, row: &quotaRow{}, away: map[*rig.Node]bool{}}
+	q := &quotaRun{doc: doc, fleet: fleet, keys: keys, client: newCaller(quotaTimeout), seed: seed, row: &quotaRow{}, away: map[*rig.Node]bool{}}
 	fleet.Network.SetRule(q.faults)
 	return q, nil
 }
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -49,6 +49,10 @@
 	KindQuotaBook Kind = 31
 	// KindQuotaLoan asks another holder for a part of its share.
 	KindQuotaLoan Kind = 32
+	// KindQuotaExtend and KindQuotaClose ask an arbiter whether a share lasts,
+	// as its holder or as its owner.
+	KindQuotaExtend Kind = 33
+	KindQuotaClose  Kind = 34
 )
 
 // KindClaim asks for, or settles, a send of a request that its caller may send
--- a/plugin/quota/holders.go
+++ b/plugin/quota/holders.go
@@ -61,6 +61,8 @@
 	proof    time.Duration
 	// lenders are asked for loans while the owner does not answer.
 	lenders []lender
+	// arbiterAddress is that of the share's arbiter.
+	arbiterAddress string
 }
 
 // wake lets the waiting requests try again. The caller holds the mutex.
@@ -286,6 +288,7 @@
 		go s.ask(h, h.owner, h.holder.Ask(now, h.waiting))
 	}
 	s.borrow(h, now)
+	s.extend(h, now)
 }
 
 // ask sends one ask to the owner and takes in its answer.
@@ -304,17 +307,19 @@
 	} else {
 		h.pause = 0
 		s.metrics.askDuration.Observe(now.Sub(started).Seconds())
-		h.holder.Apply(now, answer.Answer)
+		if h.holder.Apply(now, answer.Answer) {
+			h.arbiterAddress = answer.Arbiter
+		}
 		h.learnLenders(answer.Lenders, s.mesh.Self().VM)
 	}
 	h.wake()
 }
 
 func (s *holders) exchange(ctx context.Context, owner config.Owner, ask quota.Ask) (answer answerMessage, err error) {
+	message := askMessage{Ask: ask, Address: s.members.Self().MeshAddress}
 	if owner.VM == s.mesh.Self().VM {
-		return s.owners.answer(s.mesh.Self(), ask)
+		return s.owners.answer(s.mesh.Self(), message)
 	}
-	message := askMessage{Ask: ask, Address: s.members.Self().MeshAddress}
 	err = s.mesh.Exchange(ctx, mesh.Peer{VM: owner.VM, Address: owner.Address}, mesh.KindQuota, message, &answer)
 	return answer, err
 }
--- a/plugin/quota/lending.go
+++ b/plugin/quota/lending.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// maxLenders bounds the holders that an owner names to others, and
-	// lendersLife how long it names the same ones.
-	maxLenders  = 4
-	lendersLife = 500 * time.Millisecond
+	// maxLenders bounds the holders that an owner names to others as lenders,
+	// and namedLife how long it names the same ones.
+	maxLenders = 4
+	namedLife  = 500 * time.Millisecond
 	// borrowTimeout bounds a message to a lender; a loan that comes later
 	// helps no request that waits.
 	borrowTimeout = 300 * time.Millisecond
@@ -33,34 +33,34 @@
 	Answer quota.Answer `cbor:"1,keyasint"`
 	// Lenders can lend to the holder while the owner does not answer.
 	Lenders []lender `cbor:"2,keyasint,omitempty"`
+	// Arbiter is the mesh address of the answer's arbiter.
+	Arbiter string `cbor:"3,keyasint,omitempty"`
 }
 
-// namedLenders are the holders that the owner of an organisation names.
-type namedLenders struct {
-	chosen  time.Time
-	lenders []lender
+// namedHolders are the holders that the owner of an organisation names to
+// others.
+type namedHolders struct {
+	chosen   time.Time
+	lenders  []lender
+	arbiters []quota.HolderID
 }
 
-// lendersOf returns the organisation's holders with the largest shares. The
-// caller holds the mutex.
-func (s *owners) lendersOf(organisation string, owner *quota.Owner) []lender {
+// name returns the organisation's holders with the largest shares, and the
+// arbiters. The caller holds the mutex.
+func (s *owners) name(organisation string, owner *quota.Owner) namedHolders {
 	now := s.clock.Now()
-	named := s.lenders[organisation]
-	if now.Sub(named.chosen) < lendersLife {
-		return named.lenders
+	before := s.named[organisation]
+	if now.Sub(before.chosen) < namedLife {
+		return before
 	}
-	named = namedLenders{chosen: now}
+	named := namedHolders{chosen: now, arbiters: s.chooseArbiters(before.arbiters)}
 	for _, id := range owner.Largest(maxLenders) {
-		address, ok := s.addresses[id]
-		if id.VM == s.mesh.Self().VM {
-			address, ok = s.members.Self().MeshAddress, true
-		}
-		if ok {
-			named.lenders = append(named.lenders, lender{VM: id.VM, Address: address})
+		if a, ok := s.askers[id]; ok {
+			named.lenders = append(named.lenders, lender{VM: id.VM, Address: a.address})
 		}
 	}
-	s.lenders[organisation] = named
-	return named.lenders
+	s.named[organisation] = named
+	return named
 }
 
 // learnLenders takes in whom to borrow from. The caller holds the mutex.
--- a/plugin/quota/owners.go
+++ b/plugin/quota/owners.go
@@ -24,8 +24,8 @@
 	*Module
 	mu             sync.Mutex
 	byOrganisation map[string]*quota.Owner
-	// addresses are the mesh addresses of the holders that asked.
-	addresses map[quota.HolderID]string
+	// askers are the holders that asked.
+	askers map[quota.HolderID]asker
 	// settled is the snapshot that needs no further look.
 	settled *config.Snapshot
 	// books are those handed over for terms that this node does not know yet,
@@ -33,8 +33,16 @@
 	books map[string]quota.Book
 	// handing counts the books on their way to other owners.
 	handing int
-	// lenders are the holders named to others, by organisation.
-	lenders map[string]namedLenders
+	// named are the holders named to others, by organisation.
+	named map[string]namedHolders
+}
+
+// asker is a holder that asked.
+type asker struct {
+	identity mesh.Identity
+	// address is the node's mesh address.
+	address string
+	at      time.Time
 }
 
 // run takes up organisations as soon as their term is accepted, and drops
@@ -49,6 +57,9 @@
 		case <-ticker.Chan():
 		}
 		s.refresh()
+		s.mu.Lock()
+		s.closeOverdue()
+		s.mu.Unlock()
 	}
 }
 
@@ -70,12 +81,12 @@
 	for organisation, owner := range s.byOrganisation {
 		if !mine[organisation] {
 			delete(s.byOrganisation, organisation)
-			delete(s.lenders, organisation)
+			delete(s.named, organisation)
 			s.handOver(snapshot, organisation, owner)
 		}
 	}
 	if len(s.byOrganisation) == 0 {
-		clear(s.addresses)
+		clear(s.askers)
 	}
 	if settled {
 		s.settled = snapshot
@@ -141,26 +152,31 @@
 		return nil, false
 	}
 	owner.SetLimit(s.clock.Now(), limit)
+	owner.SetProof(s.freshness.ProofBound(snapshot.Organisation(organisation)))
 	return owner, true
 }
 
 // serveAsk answers another node's holder.
 func (s *owners) serveAsk(_ context.Context, from mesh.Identity, message askMessage) (answerMessage, error) {
-	s.mu.Lock()
-	s.addresses[quota.HolderID{VM: from.VM, Incarnation: from.Incarnation}] = message.Address
-	s.mu.Unlock()
-	return s.answer(from, message.Ask)
+	return s.answer(from, message)
 }
 
 // answer answers a holder.
-func (s *owners) answer(from mesh.Identity, ask quota.Ask) (answerMessage, error) {
+func (s *owners) answer(from mesh.Identity, message askMessage) (answerMessage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	holder, ask := quota.HolderID{VM: from.VM, Incarnation: from.Incarnation}, message.Ask
+	s.askers[holder] = asker{identity: from, address: message.Address, at: s.clock.Now()}
 	owner, ok := s.owner(ask.Organisation)
 	if !ok {
 		return answerMessage{}, errNotOwner
 	}
-	holder := quota.HolderID{VM: from.VM, Incarnation: from.Incarnation}
+	named := s.name(ask.Organisation, owner)
+	owner.NameArbiters(named.arbiters)
+	if s.config.Snapshot().Organisation(ask.Organisation).ServeWhenCutOff > 0 {
+		// A region that is cut off may hear no arbiter either.
+		owner.NameArbiters(nil)
+	}
 	answer, recalls, err := owner.Handle(s.clock.Now(), holder, ask)
 	if err != nil {
 		return answerMessage{}, err
@@ -169,7 +185,7 @@
 	for _, id := range recalls {
 		go s.recall(id, quota.Recall{Organisation: ask.Organisation, Term: ask.Term})
 	}
-	return answerMessage{Answer: answer, Lenders: s.lendersOf(ask.Organisation, owner)}, nil
+	return answerMessage{Answer: answer, Lenders: named.lenders, Arbiter: s.askers[answer.Arbiter].address}, nil
 }
 
 // recall asks a holder for what it can spare.
@@ -181,13 +197,13 @@
 		return
 	}
 	s.mu.Lock()
-	address, ok := s.addresses[id]
+	holder, ok := s.askers[id]
 	s.mu.Unlock()
 	if !ok {
 		return
 	}
 	var answer nothing
-	err := s.mesh.Exchange(ctx, mesh.Peer{VM: id.VM, Address: address}, mesh.KindQuotaRecall, recall, &answer)
+	err := s.mesh.Exchange(ctx, mesh.Peer{VM: id.VM, Address: holder.address}, mesh.KindQuotaRecall, recall, &answer)
 	if err != nil {
 		s.log.WithError(err).WithField("holder", id.VM).Debug("holder did not answer a recall")
 	}
--- a/plugin/quota/quota.go
+++ b/plugin/quota/quota.go
@@ -125,10 +125,13 @@
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
 	m.holders = &holders{Module: m, byOrganisation: map[string]*holding{}, first: make(chan struct{}, 1)}
-	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}, addresses: map[quota.HolderID]string{}, books: map[string]quota.Book{}, lenders: map[string]namedLenders{}}
+	m.owners = &owners{Module: m, byOrganisation: map[string]*quota.Owner{}, askers: map[quota.HolderID]asker{}, books: map[string]quota.Book{}, named: map[string]namedHolders{}}
 	m.keeper = newTableKeeper(m, platform, relays, ctx.Node.Store.Prefix+config.OwnersKey)
 	m.mesh.Handle(mesh.KindQuota, mesh.Typed(m.owners.serveAsk))
 	m.mesh.Handle(mesh.KindQuotaBook, mesh.Typed(m.owners.serveBook))
+	arbiter := &arbiterServer{Module: m, arbiter: quota.NewArbiter()}
+	m.mesh.Handle(mesh.KindQuotaExtend, mesh.Typed(arbiter.serveExtend))
+	m.mesh.Handle(mesh.KindQuotaClose, mesh.Typed(arbiter.serveClose))
 	m.mesh.Handle(mesh.KindQuotaLoan, mesh.Typed(m.holders.serveLoan))
 	m.mesh.Handle(mesh.KindQuotaRecall, mesh.Typed(m.holders.serveRecall))
 	kernel.Provide[Gate](ctx, m)
--- a/quota/handover.go
+++ b/quota/handover.go
@@ -56,7 +56,7 @@
 // before it have granted.
 func NewOwnerFromBook(now time.Time, book Book) *Owner {
 	o := &Owner{
-		term: book.Term + 1, limit: book.Limit, holders: newHolderSet(), bucket: bucket{at: now},
+		term: book.Term + 1, limit: book.Limit, holders: newHolderSet(), bucket: bucket{at: now}, lease: Lease,
 		unknown: book.Unknown, unknownUntil: now.Add(book.UnknownFor),
 	}
 	for _, entry := range book.Records {
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -38,8 +38,13 @@
 	limit        Limit
 	bucket       bucket
 	demand       demand
-	// expires is the end of the lease.
-	expires time.Time
+	// expires is the end of the share, which its arbiter may extend to
+	// hardExpires, the end of the lease. granted is the number of the ask whose
+	// answer gave the share.
+	expires, hardExpires time.Time
+	extendAskedAt        time.Time
+	granted              uint64
+	arbiter              HolderID
 	// term is the owner's term that this node knows, and proven the end of
 	// the proof that it is the latest.
 	term   uint64
@@ -200,7 +205,7 @@
 	ask := Ask{
 		Organisation: h.organisation, Term: h.term, Number: h.number,
 		Held:     Share{Rate: h.bucket.rate + out.Rate, Burst: h.bucket.capacity + out.Burst},
-		Returned: returned, Demand: h.demand.rate, Limit: h.limit,
+		Returned: returned, Demand: h.demand.rate, Limit: h.limit, Applied: h.granted,
 	}
 	if waiting > 0 || h.demand.rate >= idleDemand {
 		ask.Want = max(0, float64(waiting)+h.keep-h.bucket.tokens)
@@ -211,7 +216,12 @@
 // giveBack shrinks the share to what the last answer lets the holder keep and
 // returns the tokens that leave. The burst shrinks at least by the tokens that
 // leave, so that they are still counted as out while they are on their way.
+//
+// While the owner does not answer, nothing is given back, as it would be lost.
 func (h *Holder) giveBack(waiting int) float64 {
+	if h.failing {
+		return 0
+	}
 	if waiting == 0 && h.demand.rate < idleDemand {
 		returned := h.bucket.tokens
 		h.bucket.resize(0, 0)
@@ -230,7 +240,7 @@
 
 // Release gives back everything; the message needs no answer.
 func (h *Holder) Release(now time.Time) Ask {
-	h.demand.rate = 0
+	h.demand.rate, h.failing = 0, false
 	ask := h.Ask(now, 0)
 	h.pending = false
 	return ask
@@ -239,7 +249,7 @@
 // Abandon voids the answer to an ask that was not answered in time. No ask is
 // sent before retry has passed.
 func (h *Holder) Abandon(now time.Time, number uint64, retry time.Duration) {
-	if number != h.number {
+	if number != h.number || !h.pending {
 		return
 	}
 	h.pending, h.failing = false, true
@@ -258,11 +268,12 @@
 	h.useless = now.Add(answer.Wait)
 	h.exhausted, h.scarce = answer.Exhausted, answer.Scarce
 	h.advance(now)
-	expires := h.askedAt.Add(Lease)
+	expires, hard := h.askedAt.Add(answer.valid()), h.askedAt.Add(answer.Lease)
 	if !now.Before(expires) {
 		return true
 	}
-	h.expires, h.shareTerm, h.valid = expires, h.term, h.proven
+	h.expires, h.hardExpires, h.granted, h.arbiter = expires, hard, answer.Number, answer.Arbiter
+	h.shareTerm, h.valid = h.term, h.proven
 	h.keep, h.target = answer.Keep, answer.Target
 	out := h.loans.out()
 	rate := answer.Share.Rate*shrink(h.limit.Rate, answer.Limit.Rate) - out.Rate
--- a/quota/holders.go
+++ b/quota/holders.go
@@ -17,7 +17,14 @@
 	demand   float64
 	expires  time.Time
 	recalled time.Time
-	position *list.Element
+	// arbiter is that of the last share granted, and softUntil when that has
+	// ended unless it was extended. A record is closable if all shares that
+	// the holder may have had the same arbiter.
+	arbiter   HolderID
+	softUntil time.Time
+	closable  bool
+	closing   time.Time
+	position  *list.Element
 }
 
 // holderSet has the records of an owner with their sums, so that an answer's
--- a/quota/loan.go
+++ b/quota/loan.go
@@ -182,7 +182,7 @@
 	}
 	h.advance(now)
 	h.demand.decay(now)
-	loan := Loan{Number: ask.Number, For: min(h.expires.Sub(now), h.valid.Sub(now), maxLoan) - loanMargin}
+	loan := Loan{Number: ask.Number, For: min(h.lendable().Sub(now), h.valid.Sub(now), maxLoan) - loanMargin}
 	if loan.For <= 0 {
 		return Loan{Number: ask.Number}, nil
 	}
@@ -196,6 +196,16 @@
 	return loan, nil
 }
 
+// lendable returns until when the share lasts whatever comes. The answer to an
+// ask that is pending may end a share earlier that its arbiter has extended.
+func (h *Holder) lendable() time.Time {
+	pending := h.askedAt.Add(softLease)
+	if h.pending && pending.Before(h.expires) {
+		return pending
+	}
+	return h.expires
+}
+
 // spare returns the part of the share and the tokens that the holder's own
 // demand leaves. Tokens go with as much burst.
 func (h *Holder) spare(ask Borrow) (Share, float64) {
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -58,6 +58,10 @@
 	withinAt time.Time
 	// closed owners have handed over their book.
 	closed bool
+	// lease is how long a share may last.
+	lease time.Duration
+	// arbiters settle what becomes of silent holders' shares.
+	arbiters []HolderID
 }
 
 // NewOwner returns the owner of a term that begins now, once the term is
@@ -66,12 +70,12 @@
 // out until it is reported or must have expired. proof is how long a node's
 // proof that it knows the latest term counts.
 func NewOwner(now time.Time, term uint64, limit Limit, proof time.Duration) *Owner {
-	o := &Owner{term: term, limit: limit, holders: newHolderSet(), bucket: bucket{at: now}}
+	o := &Owner{term: term, limit: limit, holders: newHolderSet(), bucket: bucket{at: now}, lease: leaseFor(proof)}
 	if term == firstTerm {
 		o.bucket.tokens = limit.Burst
 	} else {
 		o.unknown = Share(limit)
-		o.unknownUntil = now.Add(min(proof, Lease) + leaseMargin)
+		o.unknownUntil = now.Add(min(proof, o.lease) + leaseMargin)
 	}
 	o.resize()
 	return o
@@ -102,6 +106,10 @@
 	o.resize()
 }
 
+// SetProof takes in how long a node's proof counts that it knows the latest
+// term, which the leases granted from now on cover.
+func (o *Owner) SetProof(proof time.Duration) { o.lease = leaseFor(proof) }
+
 // out returns the sum of what is counted as out.
 func (o *Owner) out() Share {
 	return Share{Rate: o.unknown.Rate + o.holders.out.Rate, Burst: o.unknown.Burst + o.holders.out.Burst}
@@ -141,7 +149,7 @@
 		return Answer{}, nil, ErrLimit
 	}
 	o.advance(now)
-	r, err := o.report(from, ask)
+	r, before, err := o.report(from, ask)
 	if err != nil {
 		return Answer{}, nil, err
 	}
@@ -149,11 +157,12 @@
 		o.holders.remove(r)
 		return Answer{Term: o.term, Number: ask.Number, Limit: o.limit, Next: askInterval}, nil, nil
 	}
-	o.holders.renew(r, now.Add(Lease+leaseMargin))
+	o.holders.renew(r, now.Add(o.lease+leaseMargin))
 	if o.holders.demand <= overload*o.limit.Rate {
 		o.withinAt = now
 	}
 	answer, unmet := o.grant(r, ask)
+	answer.Arbiter, answer.Soft = o.entrust(now, r, ask, before)
 	if unmet < 1 {
 		return answer, nil, nil
 	}
@@ -167,25 +176,26 @@
 
 // report replaces what is counted as out at the holder by what it says that it
 // has, and takes in the tokens that it gives back. Tokens from a holder without
-// a record are dropped: nothing counted them as out on their way.
-func (o *Owner) report(from HolderID, ask Ask) (*record, error) {
+// a record are dropped: nothing counted them as out on their way. It returns
+// the number of the holder's ask before.
+func (o *Owner) report(from HolderID, ask Ask) (r *record, before uint64, err error) {
 	r, known := o.holders.byID[from]
 	switch {
 	case known && ask.Number <= r.number:
-		return nil, ErrOldAsk
+		return nil, 0, ErrOldAsk
 	case known:
 		o.holders.setShare(r, ask.Held)
 	default:
 		r = o.holders.add(from)
 		o.holders.setShare(r, o.adopt(ask.Held))
 	}
-	r.number = ask.Number
+	before, r.number = r.number, ask.Number
 	o.holders.setDemand(r, ask.Demand)
 	o.resize()
 	if known {
 		o.bucket.tokens = min(o.bucket.capacity, o.bucket.tokens+ask.Returned)
 	}
-	return r, nil
+	return r, before, nil
 }
 
 // adopt moves a share that an earlier owner leased from unknown to known.
@@ -213,7 +223,7 @@
 	o.bucket.tokens -= tokens
 	o.resize()
 	answer = Answer{
-		Term: o.term, Number: ask.Number, Share: next, Tokens: tokens, Limit: o.limit,
+		Term: o.term, Number: ask.Number, Share: next, Tokens: tokens, Limit: o.limit, Lease: o.lease,
 		Target: target.Burst, Keep: o.keep(r), Next: o.interval(),
 		Scarce: o.bucket.tokens < scarce*o.limit.Burst,
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -25,11 +25,21 @@
 	// ClockDrift is the largest error of a clock's speed that the promise
 	// covers.
 	ClockDrift = 0.0005
+	// maxLease bounds the lease of an organisation that is served while it is
+	// cut off, and cutOffMargin is how much longer than that time it is.
+	maxLease     = time.Minute
+	cutOffMargin = time.Second
 	// leaseMargin is added by the owner to the end of a lease, for the drift
 	// of both clocks and for the granularity of timers.
-	leaseMargin = 250*time.Millisecond + time.Duration(2*ClockDrift*float64(Lease))
+	leaseMargin = 250*time.Millisecond + time.Duration(2*ClockDrift*float64(maxLease))
 )
 
+// leaseFor returns the lease of an organisation's shares, given how long a
+// node's proof counts that it knows the latest term.
+func leaseFor(proof time.Duration) time.Duration {
+	return max(Lease, min(proof+cutOffMargin, maxLease))
+}
+
 // Limit is an organisation's rate in requests a second and its burst in
 // requests.
 type Limit struct {
@@ -45,8 +55,8 @@
 
 // HolderID names the node incarnation that holds a share.
 type HolderID struct {
-	VM          string
-	Incarnation uint64
+	VM          string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
 }
 
 // Ask is a holder's message to the owner. It says what the holder has after
@@ -68,6 +78,8 @@
 	Want float64 `cbor:"7,keyasint"`
 	// Limit is the limit that the holder knows.
 	Limit Limit `cbor:"8,keyasint"`
+	// Applied is the number of the last ask whose answer gave the share.
+	Applied uint64 `cbor:"9,keyasint"`
 }
 
 // Answer is the owner's answer to an Ask.
@@ -94,6 +106,12 @@
 	// Scarce means that the owner's own bucket is low, so that holders give
 	// back early what they do not need.
 	Scarce bool `cbor:"11,keyasint"`
+	// Soft is how long the share is valid, counted from the ask, unless the
+	// Arbiter extends it to the end of the lease; 0 for the whole lease.
+	Soft    time.Duration `cbor:"12,keyasint,omitempty"`
+	Arbiter HolderID      `cbor:"13,keyasint"`
+	// Lease is how long the share may last, counted from the ask.
+	Lease time.Duration `cbor:"14,keyasint"`
 }
 
 // Recall is the owner's message to a holder whose tokens are wanted elsewhere.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -90,3 +90,41 @@
 	holder.Apply(resumed, answer)
 	assert.Equal(t, holder.Take(resumed), Wait)
 }
+
+// TestLeaseCoversServeWhenCutOff checks that the share of a node that is cut
+// off lasts for as long as its organisation is served, and not much longer.
+func TestLeaseCoversServeWhenCutOff(t *testing.T) {
+	const cutOff = 20 * time.Second
+	limit := Limit{Rate: 100, Burst: 10}
+	owner, holder := NewOwner(epoch, firstTerm, limit, cutOff), NewHolder("org", limit)
+	holder.Follow(epoch, firstTerm, epoch.Add(cutOff))
+	answer, _, err := owner.Handle(epoch, HolderID{VM: "vm-1"}, holder.Ask(epoch, 10))
+	assert.NilError(t, err)
+	assert.Assert(t, holder.Apply(epoch, answer))
+	assert.Equal(t, holder.Take(epoch.Add(cutOff-time.Second)), Admitted)
+	assert.Equal(t, holder.Take(epoch.Add(cutOff)), Wait)
+	owner.advance(epoch.Add(cutOff))
+	assert.Equal(t, owner.holders.len(), 1)
+	owner.advance(epoch.Add(cutOff + cutOffMargin + leaseMargin))
+	assert.Equal(t, owner.holders.len(), 0)
+}
+
+// TestLoanEndsBeforeThePendingShare checks that a share that its arbiter has
+// extended is not lent for longer than the share lasts that is on its way.
+func TestLoanEndsBeforeThePendingShare(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 50}
+	h := NewHolder("org", limit)
+	h.Follow(epoch, firstTerm, epoch.Add(10*time.Second))
+	h.Ask(epoch, 1)
+	h.Apply(epoch, Answer{Term: firstTerm, Number: 1, Share: Share(limit), Tokens: 50, Target: 50, Keep: 50, Limit: limit, Lease: Lease, Soft: softLease})
+	h.Ask(epoch, 1)
+	h.Abandon(epoch, 2, 0)
+	h.Extended(epoch, Extend{Number: 1})
+	asked := epoch.Add(time.Second)
+	h.Ask(asked, 1)
+	late := asked.Add(softLease - 200*time.Millisecond)
+	loan, err := h.Lend(late, Borrow{Number: 1, Share: Share{Rate: 10, Burst: 5}, Tokens: 5, Limit: limit})
+	assert.NilError(t, err)
+	assert.Assert(t, loan.Share.Burst >= 1)
+	assert.Assert(t, loan.For < 200*time.Millisecond, "%s", loan.For)
+}
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -37,7 +37,8 @@
 		case cutHolder:
 			h.cutUntil = w.now + pause
 		case replaceHolder:
-			h.holder, h.granted = NewHolder("org", w.limit), map[uint64]float64{}
+			h.holder, h.granted = NewHolder("org", w.limit), map[uint64]Answer{}
+			h.arbiter = NewArbiter()
 			h.id.Incarnation++
 			h.waiting = nil
 		}
@@ -154,7 +155,7 @@
 // holders that do not lend remain.
 func TestLostOwnerRefusesFew(t *testing.T) {
 	with, without := 0, 0
-	for seed := range uint64(5) {
+	for seed := range uint64(20) {
 		r, s := refusedAfter(seed, 8*time.Second, (*world).killOwner)
 		with += r
 		t.Logf("%d of %d refused", r, s)
@@ -164,3 +165,31 @@
 	}
 	assert.Assert(t, with < without/2, "%d refused, %d without loans", with, without)
 }
+
+// TestLostHolderIsMissedForShort checks that the share of a node that died
+// with most of the demand is of use to the others after a few seconds.
+func TestLostHolderIsMissedForShort(t *testing.T) {
+	refused, sent := 0, 0
+	for seed := range uint64(20) {
+		limit := Limit{Rate: 100, Burst: 50}
+		w := newWorld(seed, limit, 4)
+		w.run(200 * time.Millisecond)
+		hot := 0
+		for i, h := range w.holders {
+			w.load(h, func() float64 {
+				if i == hot {
+					return 0.7 * limit.Rate
+				}
+				return 0.03 * limit.Rate
+			})
+		}
+		w.run(5 * time.Second)
+		hot, w.holders[0].pausedUntil = 1, time.Hour
+		w.run(8 * time.Second)
+		sentBefore, admittedBefore := w.sent, len(w.admissions)
+		w.run(12 * time.Second)
+		refused += w.sent - sentBefore - (len(w.admissions) - admittedBefore)
+		sent += w.sent - sentBefore
+	}
+	assert.Assert(t, refused <= sent/100, "%d of %d refused from 3 s to 7 s after the loss", refused, sent)
+}
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -38,8 +38,9 @@
 	pausedUntil time.Duration
 	// cutUntil is the end of a time without messages from and to owners.
 	cutUntil time.Duration
-	// granted are the tokens on their way, by the number of the ask.
-	granted map[uint64]float64
+	arbiter  *Arbiter
+	// granted are the answers on their way, by the number of the ask.
+	granted map[uint64]Answer
 }
 
 // fakeOwner is one owner with its clock's error, the term that it knows and
@@ -52,7 +53,8 @@
 	proven       time.Time
 	pausedUntil  time.Duration
 	// stops is true if it hands over its book once it knows the next term.
-	stops bool
+	stops    bool
+	arbiters []HolderID
 }
 
 func (f *fakeOwner) fenced(now time.Time) bool {
@@ -80,6 +82,8 @@
 	sent     int
 	// withoutLoans keeps holders from lending to each other.
 	withoutLoans bool
+	// closings counts the arbiters' answers to owners.
+	closings map[bool]int
 }
 
 var epoch = time.Unix(1_800_000_000, 0)
@@ -126,7 +130,7 @@
 }
 
 func (w *world) addHolder(incarnation uint64, vm string) *fakeHolder {
-	h := &fakeHolder{id: HolderID{VM: vm, Incarnation: incarnation}, holder: NewHolder("org", w.limit), drift: w.drift(), granted: map[uint64]float64{}}
+	h := &fakeHolder{id: HolderID{VM: vm, Incarnation: incarnation}, holder: NewHolder("org", w.limit), drift: w.drift(), arbiter: NewArbiter(), granted: map[uint64]Answer{}}
 	w.holders = append(w.holders, h)
 	return h
 }
@@ -160,6 +164,7 @@
 		}
 	}
 	w.proveOwner(f)
+	w.closeOverdue(f)
 	w.after(time.Millisecond, accept)
 }
 
@@ -310,12 +315,13 @@
 	if f.fenced(clock(w.now, f.drift)) {
 		return
 	}
+	w.nameArbiters(f)
 	answer, recalls, err := f.owner.Handle(clock(w.now, f.drift), from, ask)
 	if err != nil {
 		return
 	}
 	if h.id == from {
-		h.granted[answer.Number] = answer.Tokens
+		h.granted[answer.Number] = answer
 	}
 	w.send(&h.pausedUntil, func() {
 		if h.id == from && w.now >= h.cutUntil && h.holder.Apply(clock(w.now, h.drift), answer) {
@@ -333,7 +339,7 @@
 }
 
 // conserved returns by how much the shares that are in use now, the tokens on
-// their way to a holder and what the owner has left exceed the limit.
+// their way to a holder that may still take them in and what the owner has left exceed the limit.
 func (w *world) conserved() (rate, burst float64) {
 	for _, h := range w.holders {
 		for _, loan := range h.holder.loans.borrowed {
@@ -347,8 +353,8 @@
 		}
 		rate += h.holder.bucket.rate
 		burst += h.holder.bucket.capacity
-		if h.holder.pending {
-			burst += h.granted[h.holder.number]
+		if h.holder.pending && clock(w.now, h.drift).Before(h.holder.askedAt.Add(h.granted[h.holder.number].valid())) {
+			burst += h.granted[h.holder.number].Tokens
 		}
 	}
 	for _, f := range w.owners {
@@ -364,6 +370,7 @@
 func (w *world) tick(h *fakeHolder) {
 	w.retry(h)
 	w.borrow(h)
+	w.extend(h)
 	w.step(h)
 	w.after(20*time.Millisecond, func() { w.tick(h) })
 }
@@ -378,7 +385,7 @@
 }
 
 func newWorld(seed uint64, limit Limit, holders int) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 0)), limit: limit, owners: map[uint64]*fakeOwner{}, maxDelay: 35 * time.Millisecond}
+	w := &world{random: rand.New(rand.NewPCG(seed, 0)), limit: limit, owners: map[uint64]*fakeOwner{}, closings: map[bool]int{}, maxDelay: 35 * time.Millisecond}
 	w.changeOwner()
 	for i := range holders {
 		h := w.addHolder(1, fmt.Sprintf("vm-%d", i))
@@ -394,3 +401,69 @@
 	w.owners[w.term].pausedUntil = time.Hour
 	w.after(detection, w.changeOwner)
 }
+
+// nameArbiters names two nodes, others now and then.
+func (w *world) nameArbiters(f *fakeOwner) {
+	if f.arbiters == nil || w.random.IntN(100) == 0 {
+		f.arbiters = nil
+		for _, i := range w.random.Perm(len(w.holders))[:min(2, len(w.holders))] {
+			f.arbiters = append(f.arbiters, w.holders[i].id)
+		}
+	}
+	f.owner.NameArbiters(f.arbiters)
+}
+
+// node returns the node of an incarnation; nil if it was replaced.
+func (w *world) node(id HolderID) *fakeHolder {
+	for _, h := range w.holders {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// extend asks the arbiter for a longer share if that is due.
+func (w *world) extend(h *fakeHolder) {
+	if w.now < h.pausedUntil || w.now < h.cutUntil {
+		return
+	}
+	ask, due := h.holder.Extend(clock(w.now, h.drift))
+	a, from := w.node(ask.Arbiter), h.id
+	if !due || a == nil {
+		return
+	}
+	w.send(&a.pausedUntil, func() {
+		if a.id != ask.Arbiter {
+			return
+		}
+		a.arbiter.Extend(clock(w.now, a.drift), from, ask)
+		w.send(&h.pausedUntil, func() {
+			if h.id == from {
+				h.holder.Extended(clock(w.now, h.drift), ask)
+			}
+		})
+	})
+}
+
+// closeOverdue asks the arbiters of silent holders again and again.
+func (w *world) closeOverdue(f *fakeOwner) {
+	w.later(20*time.Millisecond, &f.pausedUntil, func() { w.closeOverdue(f) })
+	if f.owner == nil {
+		return
+	}
+	for _, ask := range f.owner.Overdue(clock(w.now, f.drift), "org") {
+		a := w.node(ask.Arbiter)
+		if a == nil {
+			continue
+		}
+		w.send(&a.pausedUntil, func() {
+			if a.id != ask.Arbiter {
+				return
+			}
+			closed := a.arbiter.Close(clock(w.now, a.drift), ask)
+			w.closings[closed]++
+			w.send(&f.pausedUntil, func() { f.owner.Settle(clock(w.now, f.drift), ask, closed) })
+		})
+	}
+}
