Start the fleets of the lying-health case at the same time

Cause: each of the four variants started a fleet of its own, 55 s in all, most of the rest waiting for members, owners and proofs.

Excluded: shorter loads (they are what is checked), loads at the same time (they would share the processors).

Change: all fleets start first and idle until their turn; loads, stops and bounds are as before.

--- a/internal/bench/lying.go
+++ b/internal/bench/lying.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/internal/load"
 	"github.com/mangomast/mangomast/internal/rig"
@@ -83,14 +85,19 @@
 	if duration == 0 {
 		duration = lyingDuration
 	}
-	for _, variant := range lyingVariants() {
-		row, err := runLyingVariant(ctx, variant, duration)
+	runs, err := startLying(ctx, lyingVariants())
+	defer closeLying(runs)
+	if err != nil {
+		return nil, err
+	}
+	for _, run := range runs {
+		row, err := run.measure(ctx, duration)
 		if err != nil {
 			return nil, err
 		}
 		figures.Rows = append(figures.Rows, row)
 		report.Rows = append(report.Rows, row.cells())
-		report.Holds = report.Holds && (!variant.gate || row.Goodput >= minLyingGoodput)
+		report.Holds = report.Holds && (!run.variant.gate || row.Goodput >= minLyingGoodput)
 	}
 	return report, nil
 }
@@ -120,7 +127,45 @@
 	return nodes
 }
 
+// lyingRun is the running fleet of one variant.
+type lyingRun struct {
+	variant lyingVariant
+	fleet   *rig.Rig
+	key     Key
+}
+
+// startLying starts the fleets of all variants at the same time. Those that
+// have started are returned even if another one failed.
+func startLying(ctx context.Context, variants []lyingVariant) ([]*lyingRun, error) {
+	runs := make([]*lyingRun, len(variants))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, variant := range variants {
+		group.Go(func() (err error) {
+			runs[i], err = startLyingVariant(ctx, variant)
+			return err
+		})
+	}
+	return runs, group.Wait()
+}
+
+func closeLying(runs []*lyingRun) {
+	for _, run := range runs {
+		if run != nil {
+			run.fleet.Close()
+		}
+	}
+}
+
 func runLyingVariant(ctx context.Context, variant lyingVariant, duration time.Duration) (lyingRow, error) {
+	run, err := startLyingVariant(ctx, variant)
+	if err != nil {
+		return lyingRow{}, err
+	}
+	defer run.fleet.Close()
+	return run.measure(ctx, duration)
+}
+
+func startLyingVariant(ctx context.Context, variant lyingVariant) (*lyingRun, error) {
 	doc := &config.Document{}
 	keys := NewOrganisations(doc, 1, 1e6, 1e6)
 	AddService(doc, "front", nil)
@@ -132,12 +177,18 @@
 	AddDomains(doc, nodes)
 	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
 	if err != nil {
-		return lyingRow{}, err
+		return nil, err
 	}
-	defer fleet.Close()
 	if err := waitServing(ctx, fleet.Nodes[lyingVMs:], keys[0], "/front/x"); err != nil {
-		return lyingRow{}, err
+		fleet.Close()
+		return nil, err
 	}
+	return &lyingRun{variant: variant, fleet: fleet, key: keys[0]}, nil
+}
+
+// measure stops the cold VM's upstream, drives the load and starts it again.
+func (run *lyingRun) measure(ctx context.Context, duration time.Duration) (lyingRow, error) {
+	fleet := run.fleet
 	delayBetweenRegions(fleet)
 	if err := stopUpstream(ctx, fleet, coldVM); err != nil {
 		return lyingRow{}, err
@@ -147,11 +198,11 @@
 		time.Sleep(coldStartsAfter)
 		started <- fleet.StartUpstream(fleet.Nodes[coldVM])
 	}()
-	result := sendToFronts(ctx, fleet, keys[0], duration)
+	result := sendToFronts(ctx, fleet, run.key, duration)
 	if err := <-started; err != nil {
 		return lyingRow{}, err
 	}
-	return lyingCounts(ctx, fleet, variant, result)
+	return lyingCounts(ctx, fleet, run.variant, result)
 }
 
 func delayBetweenRegions(fleet *rig.Rig) {
