Ask for the shares of services that an ingress has not heard of lately

Cause: an ingress learned what services accept from replies to its own traffic alone. One that had just started, or had little traffic, let through what the others shed.

Change: the VMs of a route's first service learn levels and call graphs from the replies that they pass on, and say in their entry while some are shed. Questions and answers are bounded.

Figures: TestColdIngressShedsWhatOthersShed fails with ask_levels off.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -44,6 +44,9 @@
 	// current at the relays of the VM's own failure domain only: a change of
 	// it alone makes no new version.
 	ConfigRevision int64 `cbor:"12,keyasint,omitempty" json:"config_revision"`
+	// Sheds is true while the VM, or one of a service that it calls, accepts
+	// less than all requests of a route.
+	Sheds bool `cbor:"13,keyasint,omitempty" json:"sheds,omitempty"`
 }
 
 // Newer reports whether e replaces other, which has the same VM.
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -54,6 +54,9 @@
 // KindIdempotencyKey asks a writer of claims to tie a key to a request ID.
 const KindIdempotencyKey Kind = 51
 
+// KindLevels asks what the services that a route calls accept.
+const KindLevels Kind = 55
+
 // KindQuarantine exchanges records about requests that crash upstreams.
 const KindQuarantine Kind = 40
 
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -94,6 +94,7 @@
 	config     config.Source
 	metrics    *metrics
 	running    *call.Registry
+	routes     *routeLevels
 	upstream   *upstreamState
 	// serving is replaced when the upstream's address or size changes.
 	serving atomic.Pointer[serving]
@@ -152,6 +153,7 @@
 		return err
 	}
 	m.handover = newHandover(m, fabric, members, ctx.Registry)
+	m.routes = newRouteLevels(ctx.Clock, announcer)
 	m.once = newOnce(m, fabric.Self(), ctx.Registry)
 	m.upstream = &upstreamState{
 		clock: ctx.Clock, log: ctx.Log, announcer: announcer,
@@ -159,6 +161,7 @@
 	}
 	m.rebuild(settings.Upstream{Slots: 1, Connections: 1})
 	fabric.Handle(mesh.KindCall, m.serveMesh)
+	fabric.Handle(mesh.KindLevels, mesh.Typed(m.routes.serve))
 	kernel.Provide(ctx, m)
 	kernel.Provide(ctx, m.running)
 	return nil
@@ -188,6 +191,7 @@
 	return []kernel.Actor{
 		{Name: "watch upstream", Run: m.upstream.watch},
 		{Name: "adjust admission", Run: m.adjust},
+		{Name: "announce shedding", Run: m.routes.keep},
 	}
 }
 
--- a/plugin/inbound/serve.go
+++ b/plugin/inbound/serve.go
@@ -31,14 +31,14 @@
 	slot, refusal := s.gate.Acquire(ctx, head)
 	if refusal != nil {
 		cancel()
-		m.stamp(s, refusal, nil)
+		m.stamp(s, head, refusal, nil)
 		return refusal, nil
 	}
 	running := &call.Running{Head: head, Context: ctx, Deadline: m.clock.Now().Add(head.Timeout)}
 	token := m.running.Begin(running)
 	reply, answer := m.runIsolated(ctx, s, head, body, token)
 	reply.RetriesUsed, reply.Children = running.Retries().Seal(), running.Children()
-	m.stamp(s, reply, running)
+	m.stamp(s, head, reply, running)
 	finish := func() {
 		m.running.End(token)
 		slot.Release(reply, running.Refused())
@@ -53,7 +53,7 @@
 
 // stamp adds the gate's state to a reply, and what the services called by the
 // request accept.
-func (m *Module) stamp(s *serving, reply *call.Reply, running *call.Running) {
+func (m *Module) stamp(s *serving, head *call.Head, reply *call.Reply, running *call.Running) {
 	reply.Load = s.gate.Load()
 	level, ok := s.gate.Level()
 	if !ok {
@@ -64,6 +64,7 @@
 		reply.Levels = running.Levels(m.clock.Now())
 	}
 	reply.Levels = append(reply.Levels, level)
+	m.routes.learn(head, reply)
 }
 
 // finishingBody ends the request when its answer is closed.
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -21,9 +21,13 @@
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/ledger"
+	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
 	"github.com/mangomast/mangomast/plugin/claims"
 	configplugin "github.com/mangomast/mangomast/plugin/config"
 	"github.com/mangomast/mangomast/plugin/dispatch"
+	membershipplugin "github.com/mangomast/mangomast/plugin/membership"
+	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
 	"github.com/mangomast/mangomast/plugin/quota"
 	retryplugin "github.com/mangomast/mangomast/plugin/retry"
 	"github.com/mangomast/mangomast/shedding"
@@ -35,10 +39,10 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{configplugin.ID, dispatch.ID, claims.ID, quota.ID, retryplugin.ID},
+		Needs: []kernel.ID{configplugin.ID, dispatch.ID, claims.ID, quota.ID, retryplugin.ID, meshplugin.ID, membershipplugin.ID},
 		New: func() kernel.Module {
 			return &Module{
-				Shedding: true, Hold: jsonc.Duration(shedding.DefaultHold), Fade: jsonc.Duration(shedding.DefaultFade),
+				Shedding: true, AskLevels: true, Hold: jsonc.Duration(shedding.DefaultHold), Fade: jsonc.Duration(shedding.DefaultFade),
 				LeaveGrace: jsonc.Duration(defaultLeaveGrace),
 			}
 		},
@@ -54,6 +58,9 @@
 	// over Fade.
 	Hold jsonc.Duration `json:"hold"`
 	Fade jsonc.Duration `json:"fade"`
+	// AskLevels asks a VM of a route's first service for what the services of
+	// the route accept, if that VM sheds and no reply told it lately.
+	AskLevels bool `json:"ask_levels"`
 	// LeaveGrace is how long callers with open connections are still served
 	// and told to go elsewhere, before a planned stop closes the connections.
 	LeaveGrace jsonc.Duration `json:"leave_grace"`
@@ -65,13 +72,15 @@
 	config     config.Source
 	freshness  config.Freshness
 	dispatcher dispatch.Dispatcher
+	mesh       *mesh.Mesh
+	members    membership.Source
 	claims     *claims.Module
 	quota      quota.Gate
 	retries    *retryplugin.Module
 	metrics    *metrics
 	signer     *ledger.Signer
 	server     *httpserver.Server
-	levels     levelTable
+	levels     *levels
 }
 
 var (
@@ -95,12 +104,12 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	if err := kernel.Resolve(ctx, &m.config, &m.freshness, &m.dispatcher, &m.quota, &m.claims, &m.retries); err != nil {
+	if err := kernel.Resolve(ctx, &m.config, &m.freshness, &m.dispatcher, &m.quota, &m.claims, &m.retries, &m.mesh, &m.members); err != nil {
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry)
-	m.levels.table = shedding.NewTable(shedding.TableOptions{Hold: m.Hold.Std(), Fade: m.Fade.Std()})
+	m.levels = newLevels(m, m.askMesh)
 	m.signer = ledger.NewSigner(ctx.Node.FleetSecret)
 	e := echo.New()
 	e.POST(PathIDs, m.serveID)
--- a/plugin/ingress/metrics.go
+++ b/plugin/ingress/metrics.go
@@ -17,6 +17,7 @@
 	duration *prometheus.HistogramVec
 	requests *prometheus.CounterVec
 	shed     *prometheus.CounterVec
+	asked    *prometheus.CounterVec
 
 	organisations *metriclabel.Set
 }
@@ -36,9 +37,13 @@
 			Name: "mangomast_ingress_shed_total",
 			Help: "Requests refused because a service in the route's call graph would refuse them, by that service and importance.",
 		}, []string{"service", "importance"}),
+		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangomast_ingress_level_questions_total",
+			Help: "Questions to other VMs for what a route's services accept, by result (answered, nothing).",
+		}, []string{"result"}),
 		organisations: metriclabel.NewSet(metriclabel.MaxOrganisations),
 	}
-	registerer.MustRegister(m.duration, m.requests, m.shed)
+	registerer.MustRegister(m.duration, m.requests, m.shed, m.asked)
 	return m
 }
 
--- a/plugin/ingress/shed.go
+++ b/plugin/ingress/shed.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -20,12 +19,6 @@
 	maxLevelAge = 10 * time.Second
 )
 
-// levelTable is a shedding.Table that is safe for concurrent use.
-type levelTable struct {
-	mu    sync.RWMutex
-	table *shedding.Table
-}
-
 // shed fixes the request's importance and rank for its whole tree, and refuses
 // it if a service that the route calls would refuse it.
 func (m *Module) shed(r *http.Request, req *request) *call.Reply {
@@ -35,9 +28,10 @@
 	if !m.Shedding {
 		return nil
 	}
-	m.levels.mu.RLock()
-	decision := m.levels.table.Decide(req.route.ID, head.Importance, head.Organisation, head.Rank, m.clock.Now())
-	m.levels.mu.RUnlock()
+	if m.AskLevels {
+		m.levels.refresh(r.Context(), req.route)
+	}
+	decision := m.levels.decide(req)
 	if decision.Accept {
 		head.Passed = decision.Passed
 		return nil
@@ -67,10 +61,7 @@
 	if !m.Shedding || len(reply.Levels) == 0 {
 		return
 	}
-	whole := reply.Outcome == call.Answered && reply.Status < http.StatusInternalServerError
-	m.levels.mu.Lock()
-	defer m.levels.mu.Unlock()
-	m.levels.table.Learn(req.route.ID, whole, reply.Levels, m.clock.Now())
+	m.levels.learn(req.route.ID, shedding.Whole(reply), reply.Levels, m.clock.Now())
 }
 
 // expireLevels forgets VMs that were not heard of for long.
@@ -83,8 +74,6 @@
 			return ctx.Err()
 		case <-ticker.Chan():
 		}
-		m.levels.mu.Lock()
-		m.levels.table.Expire(m.clock.Now())
-		m.levels.mu.Unlock()
+		m.levels.expire()
 	}
 }
--- /dev/null
+++ b/plugin/ingress/shed_test.go
@@ -0,0 +1,101 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/membership"
+	retryplugin "github.com/mangomast/mangomast/plugin/retry"
+	"github.com/mangomast/mangomast/shedding"
+)
+
+// fixedMembers is a membership.Source that never changes.
+type fixedMembers struct{ view *membership.View }
+
+func (f fixedMembers) View() *membership.View { return f.view }
+func (f fixedMembers) Self() membership.Entry { return membership.Entry{VM: "front-1"} }
+
+// coldIngress returns an ingress that has seen no reply yet, in a fleet whose
+// service "fares" sheds. The VMs answer with the levels after the delay.
+func coldIngress(shedding bool, levels []call.Level, delay time.Duration) (*Module, *int) {
+	asked := new(int)
+	m := &Module{
+		Shedding: true, AskLevels: true, clock: clockwork.NewRealClock(),
+		metrics: newMetrics(prometheus.NewRegistry()), retries: &retryplugin.Module{},
+		members: fixedMembers{membership.NewView([]membership.Entry{
+			{VM: "fares-1", Service: "fares", State: membership.Ready, Sheds: shedding},
+		})},
+	}
+	m.levels = newLevels(m, func(context.Context, membership.Entry, string) ([]call.Level, error) {
+		*asked++
+		time.Sleep(delay)
+		return levels, nil
+	})
+	return m, asked
+}
+
+func (m *Module) sheds(importance uint8) bool {
+	route := &config.Route{ID: "quote", Service: "fares", Importance: importance}
+	return m.shed(httptest.NewRequest(http.MethodGet, "/", nil), &request{route: route, head: &call.Head{ID: "1"}}) != nil
+}
+
+// closedBelow6 returns the levels of a service that accepts importance 6 and
+// those above it.
+func closedBelow6() []call.Level {
+	level := call.Level{Service: "ledger", VM: "ledger-1", Accepted: make([]byte, config.MaxImportance)}
+	for i := 6; i <= config.MaxImportance; i++ {
+		level.Accepted[i-1] = call.ShareByte(1)
+	}
+	return []call.Level{{Service: "fares", VM: "fares-1"}, level}
+}
+
+func TestColdIngressShedsWhatOthersShed(t *testing.T) {
+	m, asked := coldIngress(true, closedBelow6(), 0)
+	assert.Assert(t, m.sheds(5))
+	assert.Assert(t, !m.sheds(6))
+	assert.Equal(t, *asked, 1)
+}
+
+func TestIngressAsksNobodyWhileNoVMSheds(t *testing.T) {
+	m, asked := coldIngress(false, closedBelow6(), 0)
+	assert.Assert(t, !m.sheds(5))
+	assert.Equal(t, *asked, 0)
+}
+
+func TestRequestsWaitForLevelsOnlyShortly(t *testing.T) {
+	m, _ := coldIngress(true, closedBelow6(), 2*time.Second)
+	started := time.Now()
+	assert.Assert(t, !m.sheds(5))
+	assert.Assert(t, time.Since(started) < time.Second)
+}
+
+func TestAsksAreBounded(t *testing.T) {
+	m, asked := coldIngress(true, nil, 0)
+	for range 100 {
+		m.sheds(5)
+	}
+	assert.Assert(t, *asked <= askBurst+1, "%d asks", *asked)
+}
+
+func TestLevelsOfARouteAreThoseOfItsCallGraph(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	table := shedding.NewTable(shedding.TableOptions{})
+	table.Learn("quote", true, closedBelow6(), now)
+	table.Learn("other", true, []call.Level{{Service: "maps", VM: "maps-1"}}, now)
+	later := now.Add(100 * time.Millisecond)
+	levels := table.Levels("quote", 16, later)
+	assert.Equal(t, len(levels), 2)
+	assert.Equal(t, levels[0].Age, 100*time.Millisecond)
+	assert.Assert(t, table.Sheds("quote", later) && !table.Sheds("other", later))
+	assert.Assert(t, table.Current("quote", later) && !table.Current("third", later))
+	assert.Assert(t, !table.Current("quote", now.Add(shedding.DefaultHold+time.Millisecond)))
+}
--- a/shedding/table.go
+++ b/shedding/table.go
@@ -1,6 +1,10 @@
 package shedding
 
 import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/mangomast/mangomast/call"
@@ -61,9 +65,14 @@
 	return &Table{opts: opts, services: map[string]map[string]heard{}, routes: map[string]*graph{}}
 }
 
+// Whole reports whether a request was answered successfully, so that its whole
+// call graph was seen.
+func Whole(reply *call.Reply) bool {
+	return reply.Outcome == call.Answered && reply.Status < http.StatusInternalServerError
+}
+
 // Learn takes in the levels that came with the reply to a request. Whole says
-// that the request was answered successfully, so that its whole call graph
-// was seen.
+// that the reply was Whole.
 func (t *Table) Learn(route string, whole bool, levels []call.Level, now time.Time) {
 	for _, level := range levels {
 		t.hear(level, now)
@@ -110,6 +119,76 @@
 	}
 }
 
+// calls lists the services that the route's requests usually call.
+func (t *Table) calls(route string) []string {
+	g := t.routes[route]
+	if g == nil {
+		return nil
+	}
+	services := make([]string, 0, len(g.touched))
+	for service, touched := range g.touched {
+		if touched >= graphShare*g.seen {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
+// Levels returns at most limit levels, the newest first and with their ages,
+// of the VMs that the route's requests call. They teach another table what
+// this one knows of the route.
+func (t *Table) Levels(route string, limit int, now time.Time) []call.Level {
+	var levels []call.Level
+	for _, service := range t.calls(route) {
+		for _, h := range t.services[service] {
+			level := h.level
+			level.Age = now.Sub(h.made)
+			levels = append(levels, level)
+		}
+	}
+	slices.SortFunc(levels, func(a, b call.Level) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Service, b.Service), cmp.Compare(a.VM, b.VM))
+	})
+	return levels[:min(len(levels), limit)]
+}
+
+// Current reports whether a level that counts in full is known of every
+// service that the route calls.
+func (t *Table) Current(route string, now time.Time) bool {
+	services := t.calls(route)
+	for _, service := range services {
+		if t.freshest(service, now) < 1 {
+			return false
+		}
+	}
+	return len(services) > 0
+}
+
+func (t *Table) freshest(service string, now time.Time) float64 {
+	freshest := 0.0
+	for _, h := range t.services[service] {
+		freshest = max(freshest, t.freshness(now.Sub(h.made)))
+	}
+	return freshest
+}
+
+// Sheds reports whether a VM that the route's requests call accepts less than
+// all, by a level that still counts.
+func (t *Table) Sheds(route string, now time.Time) bool {
+	for _, service := range t.calls(route) {
+		for _, h := range t.services[service] {
+			if len(h.level.Accepted) > 0 && t.freshness(now.Sub(h.made)) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Routes returns the routes whose call graph was learned.
+func (t *Table) Routes() []string { return slices.Sorted(maps.Keys(t.routes)) }
+
 // Decision is what an ingress does with a request.
 type Decision struct {
 	// Accept is false if the request is refused.
@@ -124,14 +203,7 @@
 // that its route calls.
 func (t *Table) Decide(route string, importance uint8, organisation string, rank uint16, now time.Time) Decision {
 	d := Decision{Accept: true, Passed: 1}
-	g := t.routes[route]
-	if g == nil {
-		return d
-	}
-	for service, touched := range g.touched {
-		if touched < graphShare*g.seen {
-			continue
-		}
+	for _, service := range t.calls(route) {
 		if share := t.share(service, importance, organisation, now); share < d.Passed {
 			d.Passed, d.Service = share, service
 		}
