Count the sends of a request through all regions in one budget

Cause: the home of a claim was a VM of the sender's region, so a caller that spread its sends over k regions had k budgets.

Change: IDs of idempotent requests name the region of the node that gave them, and callers may end a key of their own in @REGION. The home is in the region that the ID names. Unreachable homes are treated as before.

--- a/internal/bench/retries.go
+++ b/internal/bench/retries.go
@@ -15,6 +15,7 @@
 	"github.com/mangomast/mangomast/internal/rig"
 	"github.com/mangomast/mangomast/internal/standin"
 	"github.com/mangomast/mangomast/jsonc"
+	"github.com/mangomast/mangomast/retry"
 )
 
 func init() {
@@ -29,6 +30,10 @@
 	vmsPerService  = 2
 	callerGivesUp  = 25 * time.Millisecond
 	callerPatience = 10 * time.Second
+	// viewsSettle is the time in which each node of a new fleet hears of every
+	// VM of the services that it calls: two rounds between relays and one
+	// between a node and its relay.
+	viewsSettle = 2500 * time.Millisecond
 )
 
 // retryMode is one way in which every hop fails.
@@ -41,6 +46,9 @@
 	// byRequestID makes callers claim the request ID of their first send, and
 	// no key of their own.
 	byRequestID bool
+	// everywhere makes callers spread their sends over all regions; the keys
+	// of their own name a region.
+	everywhere bool
 	// disturb runs during the requests; nil for nothing.
 	disturb func(ctx context.Context, fleet *rig.Rig)
 }
@@ -172,6 +180,8 @@
 	return []retryMode{
 		{name: "answered 500", requests: 200, timeout: callerPatience, behaviour: failing(100, false)},
 		{name: "answered 500, by request id", requests: 200, timeout: callerPatience, behaviour: failing(100, false), byRequestID: true},
+		{name: "answered 500, by request id, two regions", requests: 200, timeout: callerPatience, behaviour: failing(100, false), byRequestID: true, everywhere: true},
+		{name: "answered 500, two regions", requests: 200, timeout: callerPatience, behaviour: failing(100, false), everywhere: true},
 		{name: "half answered 500", requests: 200, timeout: callerPatience, behaviour: failing(50, false)},
 		{name: "broken connections", requests: 200, timeout: callerPatience, behaviour: failing(100, true)},
 		{name: "half broken", requests: 200, timeout: callerPatience, behaviour: failing(50, true)},
@@ -212,6 +222,9 @@
 			return retryRow{}, err
 		}
 	}
+	if mode.everywhere {
+		time.Sleep(viewsSettle)
+	}
 	row := retryRow{Mode: mode.name, Requests: mode.requests, Bound: 1 + budget}
 	disturbCtx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -232,12 +245,18 @@
 func sendRepeatedly(ctx context.Context, fleet *rig.Rig, key Key, mode retryMode) int {
 	client := newCaller(mode.timeout)
 	ingress := nodesOfRegion(fleet, places[0].region)
+	if mode.everywhere {
+		ingress = fleet.Nodes
+	}
 	succeeded := make([]bool, mode.requests)
 	var group errgroup.Group
 	group.SetLimit(callersAtOnce)
 	for i := range mode.requests {
 		group.Go(func() error {
 			caller := claimingCaller{client: client, key: key, testID: mode.id(i), claim: mode.id(i), header: "Idempotency-Key"}
+			if mode.everywhere {
+				caller.claim = retry.InRegion(caller.claim, places[i%len(places)].region)
+			}
 			if mode.byRequestID {
 				caller.claim, caller.header = "", call.HeaderRequestID
 			}
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -30,6 +30,7 @@
 	meshplugin "github.com/mangomast/mangomast/plugin/mesh"
 	"github.com/mangomast/mangomast/plugin/quota"
 	retryplugin "github.com/mangomast/mangomast/plugin/retry"
+	"github.com/mangomast/mangomast/retry"
 	"github.com/mangomast/mangomast/shedding"
 )
 
@@ -142,7 +143,7 @@
 }
 
 func (m *Module) serve(c echo.Context) error {
-	req := &request{started: m.clock.Now(), head: &call.Head{ID: uuid.NewString()}}
+	req := &request{started: m.clock.Now(), head: &call.Head{ID: m.newID()}}
 	req.head.Root = req.head.ID
 	reply, err := m.handle(c, req)
 	m.metrics.observe(req, reply, m.clock.Since(req.started))
@@ -150,6 +151,10 @@
 	return err
 }
 
+// newID returns an ID that names the region in which the retries of the
+// request are counted, should its caller repeat it.
+func (m *Module) newID() string { return retry.InRegion(uuid.NewString(), m.members.Self().Region) }
+
 func (m *Module) handle(c echo.Context, req *request) (*call.Reply, error) {
 	r := c.Request()
 	checks := []func(*http.Request, *request) *call.Reply{
--- a/plugin/retry/claims.go
+++ b/plugin/retry/claims.go
@@ -38,8 +38,9 @@
 	home membership.Entry
 }
 
-// Begin asks for a send of a caller's request. All nodes of a region ask the
-// same VM of the service, the home of the claim; Reached is false, and the send
+// Begin asks for a send of a caller's request. All nodes of a region, and of
+// all regions if the claim's ID names one, ask the same VM of the service, the
+// home of the claim; Reached is false, and the send
 // not allowed, if that does not answer. End must follow an allowed send.
 func (m *Module) Begin(ctx context.Context, service string, claim retry.Claim, retries int) *Send {
 	s := &Send{Reached: true, module: m, message: claimMessage{Claim: claim, Retries: retries}}
@@ -96,26 +97,34 @@
 }
 
 // home returns the VM that keeps the budget of a claim: the one that ranks
-// highest among the service's VMs in this region, or in all regions if it has
-// none here.
+// highest among the service's VMs in the region that the claim's ID names, or
+// in this region, or in all regions, whichever has VMs of the service.
 func (m *Module) home(service string, claim retry.Claim) (membership.Entry, bool) {
 	all := m.members.View().Service(service)
-	var near []membership.Entry
-	for _, entry := range all {
-		if entry.Region == m.region {
-			near = append(near, entry)
-		}
+	candidates := inRegion(all, retry.RegionOf(claim.ID))
+	if len(candidates) == 0 {
+		candidates = inRegion(all, m.region)
 	}
-	if len(near) == 0 {
-		near = all
+	if len(candidates) == 0 {
+		candidates = all
 	}
-	highest := routing.Subset(claim.Organisation+" "+claim.Route+" "+claim.ID, near, 1)
+	highest := routing.Subset(claim.Organisation+" "+claim.Route+" "+claim.ID, candidates, 1)
 	if len(highest) == 0 {
 		return membership.Entry{}, false
 	}
 	return highest[0], true
 }
 
+func inRegion(entries []membership.Entry, region string) []membership.Entry {
+	var inside []membership.Entry
+	for _, entry := range entries {
+		if entry.Region == region {
+			inside = append(inside, entry)
+		}
+	}
+	return inside
+}
+
 func peer(entry membership.Entry) mesh.Peer {
 	return mesh.Peer{VM: entry.VM, Address: entry.MeshAddress}
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -211,3 +211,11 @@
 	assert.Equal(t, a.Delay(0), time.Second)
 	assert.Equal(t, a.Delay(0.5), 2*time.Second)
 }
+
+func TestIDsNameTheirRegion(t *testing.T) {
+	for _, region := range []string{"", "riga", "riga@north/1 %"} {
+		assert.Equal(t, RegionOf(InRegion("3f2a", region)), region)
+	}
+	assert.Equal(t, RegionOf("order@riga"), "riga")
+	assert.Equal(t, RegionOf("order@%zz"), "")
+}
