--- a/plugin/ingress/levels.go
+++ b/plugin/ingress/levels.go
@@ -25,7 +25,7 @@
 	askTimeout = 300 * time.Millisecond
 	askWait    = 100 * time.Millisecond
 	// askRate and askBurst bound the questions in a second.
-	askRate  = 4
+	askRate  = 3
 	askBurst = 4
 	// askVMs is the number of VMs that one question goes through.
 	askVMs = 2
