Report to relays without repeating what they know

Cause: each report carried the whole entry, and each answer the three relays' entries, 500 bytes and more that say nothing new. A node asked its relay for changes twice a second beside the two questions about the configuration that went to the same relay.

Excluded: longer intervals alone. Suspicion begins after half the expiry, so a report every 2 s would have each VM probed.

Change: a node leaves its entry out of reports to nodes that were told its version, and a node that does not know the entry says so and gets it at once. Relays are sent only to nodes that know others, by a sum over their versions. A question about the configuration counts as a heartbeat with the revision held, and its answer carries the number of the last change, so a node asks its relay for changes when there are some, or every 4 s. A heartbeat counts within the own failure domain only, as only its relays decide who lives.

Tests: a heartbeat does what the entry would do, an unknown or older one does nothing, the revision held never goes back.

--- a/membership/relay.go
+++ b/membership/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/zeebo/xxh3"
@@ -48,3 +49,17 @@
 func Rank(relays []Entry, vm string) int {
 	return slices.IndexFunc(relays, func(e Entry) bool { return e.VM == vm })
 }
+
+// Sum identifies a list of entries and their versions, so that a node which
+// knows them need not be sent them again.
+func Sum(entries []Entry) uint64 {
+	hasher := xxh3.New()
+	var numbers []byte
+	for _, e := range entries {
+		_, _ = hasher.WriteString(e.VM)
+		numbers = binary.BigEndian.AppendUint64(numbers[:0], e.Incarnation)
+		numbers = binary.BigEndian.AppendUint64(numbers, e.Version)
+		_, _ = hasher.Write(numbers)
+	}
+	return hasher.Sum64()
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -130,6 +130,20 @@
 	}
 }
 
+// HearAgain takes in a heartbeat of a node whose entry is known: it is the
+// same as hearing the entry again with the revision held. It returns false if
+// the incarnation's entry, in this version or a later one, is not known.
+func (t *Table) HearAgain(vm string, incarnation, version uint64, held int64, now time.Time) bool {
+	m, known := t.members[vm]
+	if !known || m.entry.Incarnation != incarnation || m.entry.Version < version {
+		return false
+	}
+	entry := m.entry
+	entry.ConfigRevision = max(entry.ConfigRevision, held)
+	t.Hear(entry, now)
+	return true
+}
+
 // Learn takes in a record passed on by another node. Only an authority on
 // whether the VM lives, such as a relay of its failure domain, removes it or
 // brings it back.
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -119,3 +119,56 @@
 	}
 	assert.DeepEqual(t, names, []string{"new", "slow"})
 }
+
+// TestHeartbeatEqualsHearingTheEntryAgain covers heartbeats without an entry:
+// they do what the entry would do, and nothing if the node was started again
+// or changed its entry since.
+func TestHeartbeatEqualsHearingTheEntryAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		told := entry("x", rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Uint64Range(1, 3).Draw(t, "version"))
+		whole, heartbeats := NewTable(), NewTable()
+		removed := rapid.Bool().Draw(t, "removed")
+		for _, table := range []*Table{whole, heartbeats} {
+			table.Hear(told, start)
+			if removed {
+				table.Remove("x", start)
+			}
+		}
+		now := start.Add(time.Second)
+		next := entry("x", rapid.Uint64Range(1, 3).Draw(t, "next incarnation"), rapid.Uint64Range(1, 3).Draw(t, "next version"))
+		next.ConfigRevision = 7
+		understood := heartbeats.HearAgain("x", next.Incarnation, next.Version, next.ConfigRevision, now)
+		assert.Equal(t, understood, next.Incarnation == told.Incarnation && next.Version <= told.Version)
+		if understood {
+			next.Version = told.Version
+			whole.Hear(next, now)
+			assert.Equal(t, heartbeats.HeardAt("x"), now)
+		}
+		assert.DeepEqual(t, heartbeats.Entries(), whole.Entries())
+		assert.Equal(t, heartbeats.Sequence(), whole.Sequence())
+	})
+}
+
+func TestHeartbeatOfAnUnknownNodeIsNotUnderstood(t *testing.T) {
+	table := NewTable()
+	assert.Assert(t, !table.HearAgain("x", 1, 1, 0, start))
+	assert.Equal(t, len(table.Entries()), 0)
+}
+
+// TestRevisionHeldNeverGoesBack covers a heartbeat that arrives after a later
+// one: acceptance must not be told of an earlier revision, nor a later one.
+func TestRevisionHeldNeverGoesBack(t *testing.T) {
+	table := NewTable()
+	table.Hear(entry("x", 1, 1), start)
+	assert.Assert(t, table.HearAgain("x", 1, 1, 9, start))
+	assert.Assert(t, table.HearAgain("x", 1, 1, 8, start))
+	assert.Equal(t, table.Entries()[0].ConfigRevision, int64(9))
+}
+
+func TestSumTellsVersionsApart(t *testing.T) {
+	known := []Entry{entry("x", 1, 1), entry("y", 1, 1)}
+	assert.Equal(t, Sum(known), Sum([]Entry{entry("x", 1, 1), entry("y", 1, 1)}))
+	for _, other := range [][]Entry{nil, known[:1], {known[1], known[0]}, {known[0], entry("y", 1, 2)}, {known[0], entry("y", 2, 1)}} {
+		assert.Assert(t, Sum(other) != Sum(known))
+	}
+}
--- a/plugin/config/stream.go
+++ b/plugin/config/stream.go
@@ -36,6 +36,8 @@
 	Report *domainReport `cbor:"8,keyasint,omitempty"`
 	// Lapsed is the revision of which all earlier proofs have run out.
 	Lapsed int64 `cbor:"9,keyasint,omitempty"`
+	// Members marks the changes of members that the answering node knows.
+	Members uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // target is a node to ask.
@@ -196,6 +198,7 @@
 	if a.QuorumAge != nil {
 		m.freshness.ProveByQuorum(asked.Add(-*a.QuorumAge))
 	}
+	m.members.TakeMark(a.VM, a.Incarnation, a.Members)
 	m.publishProof()
 	return true
 }
@@ -208,8 +211,11 @@
 	}
 }
 
-// serveQuestion answers another node's question.
-func (m *Module) serveQuestion(_ context.Context, _ mesh.Identity, q question) (answer, error) {
+// serveQuestion answers another node's question, which is a heartbeat too.
+func (m *Module) serveQuestion(_ context.Context, from mesh.Identity, q question) (answer, error) {
+	if !q.Whole {
+		m.members.HearAgain(from, q.Held)
+	}
 	self := m.members.Self()
 	report := m.report()
 	m.mu.Lock()
@@ -218,7 +224,7 @@
 	a := answer{
 		VM: self.VM, Incarnation: self.Incarnation, Held: m.held(), Accepted: m.acceptance.Accepted(),
 		StoreAge: ageOf(m.freshness.Store(), now), QuorumAge: ageOf(m.freshness.Quorum(), now),
-		Report: report, Lapsed: m.acceptance.Lapsed(),
+		Report: report, Lapsed: m.acceptance.Lapsed(), Members: m.members.Mark(),
 	}
 	if a.Held > q.Held {
 		a.Delta = m.delta(q)
--- a/plugin/membership/fleet.go
+++ b/plugin/membership/fleet.go
@@ -6,6 +6,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
 )
 
 // Position returns the relays of this node's failure domain, the first one
@@ -33,6 +34,43 @@
 	return m.table.Domain(m.self.FailureDomain), m.table.Missing(m.self.FailureDomain, after)
 }
 
+// HearAgain takes in that another node of the own failure domain, whose entry
+// is known, asked a question and what revision it holds; a report then need not
+// say so.
+func (m *Module) HearAgain(from mesh.Identity, held int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if from.FailureDomain == m.self.FailureDomain && m.table.HearAgain(from.VM, from.Incarnation, 0, held, m.clock.Now()) {
+		m.publish()
+	}
+}
+
+// Mark is the number of the last change that a node knows, which it tells
+// others with its answers.
+func (m *Module) Mark() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Sequence()
+}
+
+// TakeMark takes in the mark of another node that answered a question. If it
+// has changes that this node asked it for up to an earlier one, they are asked
+// for at once.
+func (m *Module) TakeMark(vm string, incarnation, mark uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Vouch(vm, m.clock.Now())
+	relays := m.ownRelays()
+	if m.rank() >= 0 || len(relays) == 0 || relays[m.primary%len(relays)].VM != vm {
+		return
+	}
+	if known := m.cursors[vm]; known == (cursor{Incarnation: incarnation, Sequence: mark}) {
+		return
+	}
+	m.behind = true
+	m.wake()
+}
+
 // Spread returns a small number that differs from VM to VM. Nodes that may ask
 // any of several relays start with the one at that number, so that the relays
 // share the load.
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -96,6 +96,11 @@
 	primary int
 	// rounds counts the rounds of reports.
 	rounds int
+	// told has the version of the own entry that other nodes know, by VM.
+	told map[string]uint64
+	// announced is true if the own entry or subscriptions changed since the
+	// last round, behind if a relay said that it has changes.
+	announced, behind bool
 }
 
 // domainState is what a relay knows of another failure domain.
@@ -153,6 +158,7 @@
 	m.view.Store(membership.NewView(nil))
 	m.urgent = make(chan struct{}, 1)
 	m.cursors = map[string]cursor{}
+	m.told = map[string]uint64{}
 	m.domains = map[string]*domainState{}
 	m.services = map[string]*subscription{}
 	m.whole = map[string]bool{}
@@ -195,6 +201,7 @@
 	change(&m.self)
 	m.self.Version++
 	m.table.Hear(m.self, m.clock.Now())
+	m.announced = true
 	m.publish()
 	m.mu.Unlock()
 	m.wake()
@@ -206,6 +213,7 @@
 	m.mu.Lock()
 	m.self.ConfigRevision = revision
 	m.table.Hear(m.self, m.clock.Now())
+	m.announced = true
 	m.mu.Unlock()
 	m.wake()
 }
@@ -267,6 +275,7 @@
 		s = &subscription{answered: make(chan struct{})}
 		m.services[service] = s
 		m.cursors = map[string]cursor{}
+		m.announced = true
 	}
 	m.mu.Unlock()
 	if !known {
--- a/plugin/membership/report.go
+++ b/plugin/membership/report.go
@@ -19,9 +19,14 @@
 // relay of its failure domain does not list.
 const doubtExpiries = 2
 
+// fullRounds is the number of rounds after which a node asks its relay for
+// changes even if it was not told that there are any.
+const fullRounds = 8
+
 // report is what a node tells another about itself, and asks of it.
 type report struct {
-	Entry membership.Entry `cbor:"1,keyasint"`
+	// Entry is left out if the other node was told this version before.
+	Entry *membership.Entry `cbor:"1,keyasint,omitempty"`
 	// Cursor says which changes are known; the others are asked for.
 	Cursor cursor `cbor:"2,keyasint"`
 	// Domain asks for every VM of a failure domain; Services for those of
@@ -31,6 +36,12 @@
 	AllRelays bool     `cbor:"5,keyasint,omitempty"`
 	// Quiet asks for nothing: the report only says that the node lives.
 	Quiet bool `cbor:"6,keyasint,omitempty"`
+	// Version and Held are the entry's, for a report without it.
+	Version uint64 `cbor:"7,keyasint,omitempty"`
+	Held    int64  `cbor:"8,keyasint,omitempty"`
+	// KnownRelays is the sum of the relays that the node knows in its failure
+	// domain.
+	KnownRelays uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // reportAnswer answers a report.
@@ -41,7 +52,11 @@
 	Relay   bool                `cbor:"3,keyasint,omitempty"`
 	Cursor  cursor              `cbor:"4,keyasint"`
 	Records []membership.Record `cbor:"5,keyasint,omitempty"`
-	Relays  []membership.Entry  `cbor:"6,keyasint,omitempty"`
+	// Relays is left out if the reporting node knows them.
+	Relays []membership.Entry `cbor:"6,keyasint,omitempty"`
+	// Unknown is true if the report had no entry and is not understood
+	// without.
+	Unknown bool `cbor:"7,keyasint,omitempty"`
 }
 
 // contact is a node to report to.
@@ -62,7 +77,9 @@
 	if relay != m.wasRelay {
 		m.wasRelay, m.cursors = relay, map[string]cursor{}
 	}
-	contacts := m.ownContacts(relays, relay)
+	urgent := m.announced
+	m.announced = false
+	contacts := m.ownContacts(relays, relay, urgent)
 	if relay && m.rounds%slowRounds == 0 {
 		contacts = append(contacts, m.domainContacts()...)
 	}
@@ -72,26 +89,30 @@
 		m.seedDue = now.Add(seedInterval)
 		m.seedNext++
 		seed := seeds[m.seedNext%len(seeds)]
-		contacts = append(contacts, contact{address: seed, request: report{Entry: m.self, AllRelays: true}})
+		contacts = append(contacts, contact{address: seed, request: report{AllRelays: true}})
 	}
 	return slices.DeleteFunc(contacts, func(c contact) bool { return c.address == m.self.MeshAddress })
 }
 
 // ownContacts are the other relays of the own failure domain. A relay asks
-// each for the domain's VMs, another node asks one for what it needs.
-func (m *Module) ownContacts(relays []membership.Entry, relay bool) []contact {
+// each for the domain's VMs, another node asks one for what it needs if
+// something changed.
+func (m *Module) ownContacts(relays []membership.Entry, relay, urgent bool) []contact {
 	var contacts []contact
 	for i, r := range relays {
 		if r.VM == m.self.VM {
 			continue
 		}
 		c := contact{vm: r.VM, domain: r.FailureDomain, address: r.MeshAddress}
-		c.request = report{Entry: m.self, Cursor: m.cursors[r.VM]}
+		c.request = report{Cursor: m.cursors[r.VM]}
 		slow := m.rounds%slowRounds == 0
 		switch {
 		case relay && slow:
 			c.request.Domain = m.self.FailureDomain
 		case !relay && i == m.primary%len(relays):
+			if !urgent && !m.askDue(r.VM) {
+				continue
+			}
 			c.request.Services = m.subscribed()
 		case slow:
 			c.request.Quiet = true
@@ -103,6 +124,13 @@
 	return contacts
 }
 
+// askDue reports whether a relay is to be asked for changes. The caller holds
+// m.mu.
+func (m *Module) askDue(relay string) bool {
+	heard := m.clock.Since(m.table.HeardAt(relay))
+	return m.behind || m.rounds%fullRounds == 0 || heard > slowRounds*m.Interval.Std()
+}
+
 func (m *Module) subscribed() []string {
 	names := make([]string, 0, len(m.services))
 	for name := range m.services {
@@ -120,7 +148,7 @@
 		r := relays[state.next%len(relays)]
 		contacts = append(contacts, contact{
 			vm: r.VM, domain: domain, address: r.MeshAddress,
-			request: report{Entry: m.self, Cursor: m.cursors[r.VM], Domain: domain},
+			request: report{Cursor: m.cursors[r.VM], Domain: domain},
 		})
 	}
 	return contacts
@@ -140,8 +168,10 @@
 func (m *Module) contact(ctx context.Context, c contact) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	var answer reportAnswer
-	err := m.mesh.Exchange(ctx, mesh.Peer{VM: c.vm, Address: c.address}, mesh.KindMembers, c.request, &answer)
+	answer, err := m.exchangeReport(ctx, &c, false)
+	if err == nil && answer.Unknown {
+		answer, err = m.exchangeReport(ctx, &c, true)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err != nil {
@@ -149,10 +179,32 @@
 		m.unanswered(c)
 		return
 	}
-	m.take(c, &answer)
+	m.take(c, answer)
 	m.publish()
 }
 
+// exchangeReport sends a report; whole says that the other node does not know
+// this node's entry.
+func (m *Module) exchangeReport(ctx context.Context, c *contact, whole bool) (*reportAnswer, error) {
+	m.mu.Lock()
+	entry := m.self
+	c.request.Version, c.request.Held = entry.Version, entry.ConfigRevision
+	c.request.Entry = nil
+	if whole || c.vm == "" || m.told[c.vm] != entry.Version {
+		c.request.Entry = &entry
+	}
+	c.request.KnownRelays = membership.Sum(m.ownRelays())
+	m.mu.Unlock()
+	answer := &reportAnswer{}
+	err := m.mesh.Exchange(ctx, mesh.Peer{VM: c.vm, Address: c.address}, mesh.KindMembers, c.request, answer)
+	if err == nil && !answer.Unknown {
+		m.mu.Lock()
+		m.told[answer.VM] = entry.Version
+		m.mu.Unlock()
+	}
+	return answer, err
+}
+
 func (m *Module) unanswered(c contact) {
 	switch {
 	case c.vm == "":
@@ -195,6 +247,7 @@
 	}
 	if !own || m.asksFor(relay, &c.request) {
 		m.cursors[answer.VM] = answer.Cursor
+		m.behind = false
 	}
 	for _, name := range c.request.Services {
 		if s := m.services[name]; s != nil && !s.done {
@@ -229,12 +282,17 @@
 
 // serveReport answers another node's report.
 func (m *Module) serveReport(_ context.Context, from mesh.Identity, r report) (reportAnswer, error) {
-	if r.Entry.VM != from.VM || r.Entry.Incarnation != from.Incarnation {
+	if r.Entry != nil && (r.Entry.VM != from.VM || r.Entry.Incarnation != from.Incarnation) {
 		return reportAnswer{}, errors.Errorf("%s reported as %s", from.VM, r.Entry.VM)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.table.Hear(r.Entry, m.clock.Now())
+	now := m.clock.Now()
+	if r.Entry != nil {
+		m.table.Hear(*r.Entry, now)
+	} else if !m.table.HearAgain(from.VM, from.Incarnation, r.Version, r.Held, now) {
+		return reportAnswer{VM: m.self.VM, Domain: m.self.FailureDomain, Unknown: true}, nil
+	}
 	m.publish()
 	answer := reportAnswer{VM: m.self.VM, Domain: m.self.FailureDomain, Relay: m.rank() >= 0}
 	if r.Quiet {
@@ -245,27 +303,33 @@
 	if r.Cursor.Incarnation != m.self.Incarnation {
 		after = 0
 	}
-	answer.Records = m.table.Changes(after, r.wants)
-	answer.Relays = m.relaysFor(r)
+	answer.Records = m.table.Changes(after, func(record membership.Record) bool { return r.wants(record, from.FailureDomain) })
+	answer.Relays = m.relaysFor(r, from.FailureDomain)
 	return answer, nil
 }
 
-// wants reports whether a change is of use to the node that reports.
-func (r *report) wants(record membership.Record) bool {
+// wants reports whether a change is of use to the node of the failure domain
+// that reports.
+func (r *report) wants(record membership.Record, domain string) bool {
 	e := record.Entry
 	switch {
 	case r.Domain != "":
 		return e.FailureDomain == r.Domain
-	case record.Removed && e.FailureDomain == r.Entry.FailureDomain:
+	case record.Removed && e.FailureDomain == domain:
 		return true
 	}
 	return slices.Contains(r.Services, e.Service)
 }
 
-// relaysFor returns the relays that the reporting node should know.
-func (m *Module) relaysFor(r report) []membership.Entry {
+// relaysFor returns the relays that the reporting node of the failure domain
+// should know and does not.
+func (m *Module) relaysFor(r report, domain string) []membership.Entry {
 	if !r.AllRelays {
-		return m.table.Relays(r.Entry.FailureDomain)
+		own := m.table.Relays(domain)
+		if membership.Sum(own) == r.KnownRelays {
+			return nil
+		}
+		return own
 	}
 	var relays []membership.Entry
 	for _, domain := range m.table.Domains() {
--- a/plugin/membership/report_test.go
+++ b/plugin/membership/report_test.go
@@ -26,7 +26,7 @@
 	m := newModule()
 	relay := membership.Entry{VM: "relay-1", Incarnation: 1, FailureDomain: "riga-a"}
 	m.table.Hear(relay, m.clock.Now())
-	c := contact{vm: relay.VM, domain: relay.FailureDomain, request: report{Entry: m.self, Services: m.subscribed()}}
+	c := contact{vm: relay.VM, domain: relay.FailureDomain, request: report{Entry: &m.self, Services: m.subscribed()}}
 	answer := &reportAnswer{VM: relay.VM, Domain: relay.FailureDomain, Relay: true, Cursor: cursor{Incarnation: 1, Sequence: 7}}
 
 	m.services["fares"] = &subscription{answered: make(chan struct{})}
@@ -51,7 +51,7 @@
 	<-m.urgent
 
 	other := membership.Entry{VM: "fares-1", Incarnation: 1, FailureDomain: "jurmala-a", Service: "fares", State: membership.Ready}
-	c := contact{vm: relay.VM, domain: relay.FailureDomain, request: report{Entry: m.self, Services: m.subscribed()}}
+	c := contact{vm: relay.VM, domain: relay.FailureDomain, request: report{Entry: &m.self, Services: m.subscribed()}}
 	m.take(c, &reportAnswer{VM: relay.VM, Domain: relay.FailureDomain, Relay: true, Records: []membership.Record{{Entry: other}}})
 	assert.Equal(t, <-first, 2)
 	assert.Equal(t, len(m.View().Service("fares")), 2)
