Pass on what a failure domain's witnesses said

Cause: while a revision waits, each relay asks every witness of every failure domain twice a second, three for each domain. With a change a second something always waits, and at 38 domains that is 111 questions every half second from each relay.

Change: the relay that is asked for a failure domain adds what that domain's witnesses told it, by incarnation and with the age since each was asked. The asking node counts the age from when it asked, so it errs upwards only. Witnesses of other domains whose word was not passed on for 1.5 s are asked themselves, as are those of the own domain.

Tests: the model passes words on in every answer; 100,000 random histories of up to 60 steps hold (-rapid.checks=100000 -rapid.steps=60). With the age left out on purpose the model found nothing in 200,000 histories, only TestWordPassedOnKeepsItsAge fails.

--- a/plugin/config/stream.go
+++ b/plugin/config/stream.go
@@ -19,6 +19,9 @@
 	Held int64 `cbor:"1,keyasint"`
 	// Whole asks for the whole stream, after a delta that did not fit.
 	Whole bool `cbor:"2,keyasint,omitempty"`
+	// Witnesses asks for what the witnesses of the answering node's failure
+	// domain said.
+	Witnesses bool `cbor:"3,keyasint,omitempty"`
 }
 
 // answer says what a node holds. It attests the revision, as of the question.
@@ -38,6 +41,8 @@
 	Lapsed int64 `cbor:"9,keyasint,omitempty"`
 	// Members marks the changes of members that the answering node knows.
 	Members uint64 `cbor:"10,keyasint,omitempty"`
+	// Said is what the witnesses of the answering node's failure domain said.
+	Said []revision.Said `cbor:"11,keyasint,omitempty"`
 }
 
 // target is a node to ask.
@@ -47,6 +52,8 @@
 	group string
 	// first is true for the first relay of the own failure domain.
 	first bool
+	// witnesses is true if the node is asked what its domain's witnesses said.
+	witnesses bool
 }
 
 // askAll asks every target that has answered the last question.
@@ -75,7 +82,8 @@
 // targets returns the nodes to ask. A node that is no relay asks one relay. A
 // relay asks the first relay of its failure domain, which reads the store; as
 // long as a revision waits for acceptance or the store was not read lately, it
-// asks the other relays, one of each other domain, and the witnesses.
+// asks the other relays, one of each other domain, and the witnesses of which
+// these pass no word on.
 func (m *Module) targets() []target {
 	relays, rank := m.members.Position()
 	self := m.members.Self()
@@ -110,17 +118,28 @@
 	}
 	for domain, relays := range others {
 		t := m.pick(domain, relays)
+		t.witnesses = true
 		chosen[t.entry.VM] = t
 	}
 	view := m.members.View()
-	for _, vm := range m.witnesses.Names() {
-		if entry, ok := view.Get(vm); ok {
-			chosen[vm] = target{entry: entry, group: chosen[vm].group, first: chosen[vm].first}
+	for _, vm := range m.witnesses.Names(m.askWitness) {
+		t, ok := chosen[vm]
+		if entry, known := view.Get(vm); known && !ok {
+			t.entry = entry
+			chosen[vm] = t
 		}
 	}
 	return chosen
 }
 
+// askWitness reports whether a witness is to be asked itself: those of the own
+// failure domain, whose word this node passes on, and others whose word was
+// not passed on lately. The caller holds m.mu.
+func (m *Module) askWitness(w revision.Witness) bool {
+	lately := m.clock.Now().Add(-boundIntervals * m.Interval.Std())
+	return w.FailureDomain == m.members.Self().FailureDomain || !m.attested.HeardSince(w, lately)
+}
+
 // pick chooses one of the relays of a failure domain, another one after each
 // failure.
 func (m *Module) pick(domain string, relays []membership.Entry) target {
@@ -139,7 +158,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	m.mu.Lock()
-	q := question{Held: m.held()}
+	q := question{Held: m.held(), Witnesses: t.witnesses}
 	m.mu.Unlock()
 	a, asked, err := m.exchange(ctx, t, q)
 	m.mu.Lock()
@@ -175,6 +194,7 @@
 // The caller holds m.mu.
 func (m *Module) take(a answer, asked time.Time) bool {
 	m.attested.Note(a.VM, a.Incarnation, a.Held, asked)
+	m.attested.Pass(a.Said, asked)
 	m.acceptance.Learn(a.Accepted)
 	m.acceptance.LearnLapsed(a.Lapsed)
 	if a.Report != nil {
@@ -226,6 +246,9 @@
 		StoreAge: ageOf(m.freshness.Store(), now), QuorumAge: ageOf(m.freshness.Quorum(), now),
 		Report: report, Lapsed: m.acceptance.Lapsed(), Members: m.members.Mark(),
 	}
+	if q.Witnesses {
+		a.Said = m.attested.Said(m.witnesses, func(w revision.Witness) bool { return w.FailureDomain == self.FailureDomain }, now)
+	}
 	if a.Held > q.Held {
 		a.Delta = m.delta(q)
 	}
--- a/revision/model_test.go
+++ b/revision/model_test.go
@@ -93,9 +93,12 @@
 	n, peer := m.node("asking"), m.node("asked")
 	asked := m.now
 	store, quorum, held, accepted := peer.freshness.Store(), peer.freshness.Quorum(), peer.held, peer.acceptance.Accepted()
+	table, _ := m.table(peer.held)
+	said := peer.attested.Said(table, func(Witness) bool { return true }, m.now)
 	// The answer may be long on its way.
 	m.pass(rapid.Int64Range(0, 600).Draw(m.t, "way"))
 	n.attested.Note(peer.vm, peer.incarnation, held, asked)
+	n.attested.Pass(said, asked)
 	n.acceptance.Learn(accepted)
 	n.adopt(held)
 	if n.held >= held {
@@ -244,6 +247,24 @@
 	assert.Equal(t, at, start)
 }
 
+// TestWordPassedOnKeepsItsAge covers a relay that passes on what a witness said
+// before the relay was frozen.
+func TestWordPassedOnKeepsItsAge(t *testing.T) {
+	table := &WitnessTable{Current: witnesses("a1", "b1", "c1"), Previous: witnesses("b1", "b2")}
+	relay, other := NewAttestations(), NewAttestations()
+	note(relay, 7, start, "b1", "b2")
+	note(other, 8, start.Add(time.Second), "b2")
+	asked := start.Add(time.Minute)
+	said := relay.Said(table, func(w Witness) bool { return w.FailureDomain == "b" }, asked.Add(time.Second))
+	assert.Equal(t, len(said), 2)
+	other.Pass(said, asked)
+	assert.Equal(t, other.of(Witness{VM: "b1", Incarnation: 1}).at, start.Add(-time.Second))
+	assert.Equal(t, other.of(Witness{VM: "b2", Incarnation: 1}).revision, int64(8))
+	assert.Assert(t, !other.HeardSince(Witness{VM: "b1", Incarnation: 1}, start))
+	other.Pass([]Said{{VM: "c1", Incarnation: 1, Revision: 7, Age: -time.Hour}}, asked)
+	assert.Assert(t, !other.HeardSince(Witness{VM: "c1", Incarnation: 1}, asked.Add(1)), "an age from the future counted")
+}
+
 func TestRestartedWitnessDoesNotCount(t *testing.T) {
 	table := &WitnessTable{Current: witnesses("a1", "b1", "c1")}
 	a := NewAttestations()
--- a/revision/witness.go
+++ b/revision/witness.go
@@ -98,11 +98,14 @@
 	return found
 }
 
-// Names returns the VMs of all witnesses, those of Previous included.
-func (t *WitnessTable) Names() []string {
+// Names returns the VMs of the witnesses that keep returns true for, those of
+// Previous included.
+func (t *WitnessTable) Names(keep func(Witness) bool) []string {
 	var names []string
 	for _, w := range append(slices.Clone(t.Current), t.Previous...) {
-		names = append(names, w.VM)
+		if keep(w) {
+			names = append(names, w.VM)
+		}
 	}
 	slices.Sort(names)
 	return slices.Compact(names)
@@ -140,6 +143,43 @@
 	a.latest[key] = attestation{revision: revision, at: asked}
 }
 
+// Said is what a witness said, as another node passes it on.
+type Said struct {
+	VM          string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Revision    int64  `cbor:"3,keyasint"`
+	// Age is the time since the question that the witness answered was asked.
+	Age time.Duration `cbor:"4,keyasint"`
+}
+
+// Said returns what the witnesses that keep returns true for said, each once.
+func (a *Attestations) Said(t *WitnessTable, keep func(Witness) bool, now time.Time) []Said {
+	var all []Said
+	for _, w := range append(slices.Clone(t.Current), t.Previous...) {
+		said := a.of(w)
+		repeated := slices.ContainsFunc(all, func(s Said) bool { return s.VM == w.VM && s.Incarnation == w.Incarnation })
+		if said.at.IsZero() || repeated || !keep(w) {
+			continue
+		}
+		all = append(all, Said{VM: w.VM, Incarnation: w.Incarnation, Revision: said.revision, Age: now.Sub(said.at)})
+	}
+	return all
+}
+
+// Pass notes what another node passed on when it answered a question that was
+// asked at the time. The ages were measured later than that, so they only err
+// upwards.
+func (a *Attestations) Pass(all []Said, asked time.Time) {
+	for _, s := range all {
+		a.Note(s.VM, s.Incarnation, s.Revision, asked.Add(-max(0, s.Age)))
+	}
+}
+
+// HeardSince reports whether what a witness said is not older than the time.
+func (a *Attestations) HeardSince(w Witness, since time.Time) bool {
+	return !a.of(w).at.Before(since)
+}
+
 // Forget drops what was said before the time.
 func (a *Attestations) Forget(before time.Time) {
 	for key, said := range a.latest {
