--- a/cmd/mangomast-bench/main.go
+++ b/cmd/mangomast-bench/main.go
@@ -26,6 +26,7 @@
 type runOptions struct {
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the case's random choices"`
 	Duration time.Duration `long:"for" value-name:"DURATION" description:"length of the load; the case's default if absent"`
+	Plot     string        `long:"plot" value-name:"FILE" description:"draw the figures into a .png or .svg file; cases that cannot refuse it"`
 	JSON     bool          `long:"json" description:"print only the JSON object"`
 }
 
@@ -37,12 +38,15 @@
 
 // Execute implements flags.Commander.
 func (c *caseCommand) Execute([]string) error {
+	if c.Plot != "" && !c.chosen.Plots {
+		return errors.Errorf("%s draws no figures; --plot is of no use", c.chosen.Name)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
 	defer cancel()
 	defer rig.RemoveBuild()
-	env := &bench.Env{Seed: c.Seed, Duration: c.Duration, Progress: os.Stdout}
+	env := &bench.Env{Seed: c.Seed, Duration: c.Duration, Plot: c.Plot, Progress: os.Stdout}
 	if c.JSON {
 		env.Progress = io.Discard
 	}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -21,6 +21,8 @@
 	Seed uint64
 	// Duration scales the case's load; 0 for its default.
 	Duration time.Duration
+	// Plot is the file to draw the figures into; empty for none.
+	Plot string
 	// Progress receives lines for people.
 	Progress io.Writer
 }
@@ -46,6 +48,8 @@
 	Help string
 	// Run blocks until the case is done; it must end by itself.
 	Run func(ctx context.Context, env *Env) (*Report, error)
+	// Plots is true if the case can draw its figures.
+	Plots bool
 }
 
 var cases = map[string]Case{}
--- a/internal/bench/decisions.go
+++ b/internal/bench/decisions.go
@@ -140,6 +140,7 @@
 		})},
 		{Name: "membership view of a change", Nanos: nanos(func(int) { view.With([]membership.Record{{Entry: entry}}) })},
 		{Name: "membership relays of a domain", Nanos: nanos(func(int) { table.Relays(entry.FailureDomain) })},
+		{Name: "membership revision held in a domain", Nanos: nanos(func(int) { table.Held(entry.FailureDomain, time.Time{}) })},
 		{Name: "membership relays after a change", Nanos: nanos(func(int) { membership.Relays(table.Domain(entry.FailureDomain)) })},
 	}
 	for i := range rows {
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -18,7 +18,10 @@
 )
 
 func init() {
-	Register(Case{Name: "slopes", Help: "4, 16 and 64 idle nodes: calls on the store, and control bytes, processor and memory of a node", Run: runSlopes})
+	Register(Case{
+		Name: "slopes", Run: runSlopes, Plots: true,
+		Help: "4 to 64 nodes in four and in one failure domain: calls on the store, and control bytes, processor and memory of a node",
+	})
 }
 
 const (
@@ -30,8 +33,23 @@
 	// Budget of a node for control.
 	maxControlCores = 0.017
 	maxControlBytes = 21_000
+	// targetChanges is the rate of configuration changes to build towards, a
+	// second, rounded up.
+	targetChanges = 1
 )
 
+// slopeShape is a fleet of the slopes case.
+type slopeShape struct{ nodes, domains, changes int }
+
+// slopeShapes grow the fleet at the same failure domains, grow one failure
+// domain, and change the configuration at the rate to build towards.
+var slopeShapes = []slopeShape{
+	{nodes: 4, domains: 4}, {nodes: 16, domains: 4}, {nodes: 64, domains: 4},
+	{nodes: 16, domains: 1}, {nodes: 64, domains: 1},
+	{nodes: 16, domains: 1, changes: targetChanges}, {nodes: 64, domains: 1, changes: targetChanges},
+	{nodes: 64, domains: 4, changes: targetChanges},
+}
+
 // nodeCost is what control costs nodes of one kind, on average.
 type nodeCost struct {
 	Count          int     `json:"count"`
@@ -54,11 +72,15 @@
 
 // slopeRow is one size of the fleet.
 type slopeRow struct {
-	Nodes          int      `json:"nodes"`
-	StorePerMinute float64  `json:"store_calls_per_minute"`
-	StoreWatches   int64    `json:"store_watches"`
-	Relay          nodeCost `json:"relay"`
-	Other          nodeCost `json:"other"`
+	Nodes int `json:"nodes"`
+	// Domains is the number of failure domains, ChangesPerSecond the rate at
+	// which the configuration was changed.
+	Domains          int      `json:"failure_domains"`
+	ChangesPerSecond int      `json:"changes_per_second"`
+	StorePerMinute   float64  `json:"store_calls_per_minute"`
+	StoreWatches     int64    `json:"store_watches"`
+	Relay            nodeCost `json:"relay"`
+	Other            nodeCost `json:"other"`
 }
 
 type slopeFigures struct {
@@ -66,36 +88,69 @@
 }
 
 func runSlopes(ctx context.Context, env *Env) (*Report, error) {
+	if err := checkPlotFile(env.Plot); err != nil {
+		return nil, err
+	}
 	length := env.Duration
 	if length == 0 {
 		length = defaultSlopeTime
 	}
 	figures := &slopeFigures{}
-	for _, size := range []int{4, 16, 64} {
-		row, err := measureSlope(ctx, size, length)
+	for _, shape := range slopeShapes {
+		row, err := measureSlope(ctx, shape, length)
 		if err != nil {
 			return nil, err
 		}
 		figures.Sizes = append(figures.Sizes, row)
 	}
+	if env.Plot != "" {
+		if err := plotSlopes(figures.Sizes, env.Plot); err != nil {
+			return nil, err
+		}
+	}
 	return figures.report(), nil
 }
 
-// measureSlope starts idle nodes without upstreams in four failure domains.
-func measureSlope(ctx context.Context, size int, length time.Duration) (slopeRow, error) {
+// idleFleet returns nodes without upstreams, and their document.
+func idleFleet(size, domains int) ([]rig.NodeSpec, *config.Document) {
 	doc := &config.Document{}
 	NewOrganisations(doc, 8, 1000, 1000)
 	AddService(doc, "fares", nil)
 	nodes := Spread("fares", size, 10, standin.Behaviour{})
-	AddDomains(doc, nodes)
 	for i := range nodes {
-		nodes[i].Service = ""
+		place := places[i%domains]
+		nodes[i].FailureDomain, nodes[i].Region, nodes[i].Service = place.domain, place.region, ""
+	}
+	AddDomains(doc, nodes)
+	return nodes, doc
+}
+
+// changeDocument changes an organisation's burst in intervals until ctx ends.
+func changeDocument(ctx context.Context, fleet *rig.Rig, doc *config.Document, perSecond int) {
+	for number := 0; perSecond > 0; number++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second / time.Duration(perSecond)):
+		}
+		doc.Organisations[0].Burst = float64(1000 + number%100)
+		if err := fleet.Apply(ctx, doc); err != nil {
+			return
+		}
 	}
+}
+
+// measureSlope starts nodes without upstreams and measures what control costs.
+func measureSlope(ctx context.Context, shape slopeShape, length time.Duration) (slopeRow, error) {
+	nodes, doc := idleFleet(shape.nodes, shape.domains)
 	fleet, err := rig.Start(ctx, rig.Options{Nodes: nodes, Document: doc})
 	if err != nil {
 		return slopeRow{}, err
 	}
 	defer fleet.Close()
+	changing, stop := context.WithCancel(ctx)
+	defer stop()
+	go changeDocument(changing, fleet, doc, shape.changes)
 	time.Sleep(slopeSettle)
 	storeBefore, err := fleet.StoreCounts(ctx)
 	if err != nil {
@@ -117,7 +172,7 @@
 		return slopeRow{}, err
 	}
 	row := slopeRow{
-		Nodes: size, StoreWatches: storeAfter.Waiting,
+		Nodes: shape.nodes, Domains: shape.domains, ChangesPerSecond: shape.changes, StoreWatches: storeAfter.Waiting,
 		StorePerMinute: float64(storeCalls(storeAfter)-storeCalls(storeBefore)) / seconds * 60,
 	}
 	relays := relayNames(fleet)
@@ -200,16 +255,22 @@
 
 func (f *slopeFigures) report() *Report {
 	report := &Report{Holds: true, Figures: f, Header: []string{
-		"nodes", "store calls/min", "watches", "relays: B/s", "cores", "MB", "others: B/s", "cores", "MB",
+		"nodes", "domains", "changes/s", "store calls/min", "watches", "relays: B/s", "cores", "MB", "others: B/s", "cores", "MB",
 	}}
 	first := f.Sizes[0]
 	for _, row := range f.Sizes {
-		cells := []string{fmt.Sprint(row.Nodes), fmt.Sprintf("%.0f", row.StorePerMinute), fmt.Sprint(row.StoreWatches)}
+		cells := []string{fmt.Sprint(row.Nodes), fmt.Sprint(row.Domains), fmt.Sprint(row.ChangesPerSecond), fmt.Sprintf("%.0f", row.StorePerMinute), fmt.Sprint(row.StoreWatches)}
 		for _, cost := range []nodeCost{row.Relay, row.Other} {
 			cells = append(cells, fmt.Sprintf("%.0f", cost.BytesPerSecond), fmt.Sprintf("%.4f", cost.Cores), fmt.Sprintf("%.0f", cost.ResidentMB))
+			if row.Domains < len(places) {
+				continue
+			}
 			report.Holds = report.Holds && cost.BytesPerSecond <= maxControlBytes && cost.Cores <= maxControlCores
 		}
 		report.Rows = append(report.Rows, cells)
+		if row.ChangesPerSecond > 0 || row.Domains < len(places) {
+			continue
+		}
 		report.Holds = report.Holds && row.StorePerMinute <= maxStoreGrowth*first.StorePerMinute
 	}
 	return report
