Ask seeds for relays only in intervals and if they differ

Cause: a round without any report to send asked a seed, as a node that knows nobody should; that took 'nothing is due' for 'knows nobody'. Relays have such rounds every second, and since reports are sent only when something changed all nodes have.

Change: a node asks a seed at each round only if it knows no other; relays every 5 s, other nodes every 30 to 90 s. The answer leaves out the relays if the asking node knows the same.

--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -35,9 +35,11 @@
 	minInterval     = 50 * time.Millisecond
 	// exchangeTimeout bounds one message and its answer.
 	exchangeTimeout = 700 * time.Millisecond
-	// seedInterval is the time between two contacts with a seed, which join
-	// parts of the fleet that started without knowing each other.
-	seedInterval = 5 * time.Second
+	// seedInterval is the time between two contacts of a relay with a seed,
+	// which join parts of the fleet that started without knowing each other;
+	// otherSeedInterval is the mean time for other nodes.
+	seedInterval      = 5 * time.Second
+	otherSeedInterval = 60 * time.Second
 	// forgetAfter is how long removed VMs are remembered, so that nodes with
 	// an old cursor hear of the removal.
 	forgetAfter = 10 * time.Minute
@@ -247,6 +249,11 @@
 	return membership.Rank(m.ownRelays(), m.self.VM)
 }
 
+// alone reports whether this node knows no other. The caller holds m.mu.
+func (m *Module) alone() bool {
+	return len(m.ownRelays()) <= 1 && len(m.otherRelays()) == 0
+}
+
 // ownRelays returns the relays of the own failure domain, among the VMs that
 // this node knows. The caller holds m.mu and does not change the slice.
 func (m *Module) ownRelays() []membership.Entry {
--- a/plugin/membership/report.go
+++ b/plugin/membership/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -40,7 +41,7 @@
 	Version uint64 `cbor:"7,keyasint,omitempty"`
 	Held    int64  `cbor:"8,keyasint,omitempty"`
 	// KnownRelays is the sum of the relays that the node knows in its failure
-	// domain.
+	// domain, or of all with AllRelays.
 	KnownRelays uint64 `cbor:"9,keyasint,omitempty"`
 }
 
@@ -83,17 +84,28 @@
 	if relay && m.rounds%slowRounds == 0 {
 		contacts = append(contacts, m.domainContacts()...)
 	}
-	now := m.clock.Now()
-	seeds := append(slices.Clone(m.seeds), m.storeSeeds...)
-	if len(seeds) > 0 && (!now.Before(m.seedDue) || len(contacts) == 0) {
-		m.seedDue = now.Add(seedInterval)
-		m.seedNext++
-		seed := seeds[m.seedNext%len(seeds)]
+	if seed, due := m.nextSeed(relay); due {
 		contacts = append(contacts, contact{address: seed, request: report{AllRelays: true}})
 	}
 	return slices.DeleteFunc(contacts, func(c contact) bool { return c.address == m.self.MeshAddress })
 }
 
+// nextSeed returns the seed to contact, if one is due: at each round of a node
+// that knows no other, else in intervals. The caller holds m.mu.
+func (m *Module) nextSeed(relay bool) (address string, due bool) {
+	now := m.clock.Now()
+	seeds := append(slices.Clone(m.seeds), m.storeSeeds...)
+	if len(seeds) == 0 || now.Before(m.seedDue) && !m.alone() {
+		return "", false
+	}
+	m.seedDue = now.Add(seedInterval)
+	if !relay {
+		m.seedDue = now.Add(otherSeedInterval/2 + rand.N(otherSeedInterval))
+	}
+	m.seedNext++
+	return seeds[m.seedNext%len(seeds)], true
+}
+
 // ownContacts are the other relays of the own failure domain. A relay asks
 // each for the domain's VMs, another node asks one for what it needs if
 // something changed.
@@ -193,7 +205,7 @@
 	if whole || c.vm == "" || m.told[c.vm] != entry.Version {
 		c.request.Entry = &entry
 	}
-	c.request.KnownRelays = membership.Sum(m.ownRelays())
+	c.request.KnownRelays = membership.Sum(m.relaysOf(m.self.FailureDomain, c.request.AllRelays))
 	m.mu.Unlock()
 	answer := &reportAnswer{}
 	err := m.mesh.Exchange(ctx, mesh.Peer{VM: c.vm, Address: c.address}, mesh.KindMembers, c.request, answer)
@@ -324,16 +336,22 @@
 // relaysFor returns the relays that the reporting node of the failure domain
 // should know and does not.
 func (m *Module) relaysFor(r report, domain string) []membership.Entry {
-	if !r.AllRelays {
-		own := m.table.Relays(domain)
-		if membership.Sum(own) == r.KnownRelays {
-			return nil
-		}
-		return own
+	relays := m.relaysOf(domain, r.AllRelays)
+	if membership.Sum(relays) == r.KnownRelays {
+		return nil
+	}
+	return relays
+}
+
+// relaysOf returns the relays of a failure domain, or of all. The caller holds
+// m.mu and does not change the slice.
+func (m *Module) relaysOf(domain string, all bool) []membership.Entry {
+	if !all {
+		return m.table.Relays(domain)
 	}
 	var relays []membership.Entry
-	for _, domain := range m.table.Domains() {
-		relays = append(relays, m.table.Relays(domain)...)
+	for _, name := range m.table.Domains() {
+		relays = append(relays, m.table.Relays(name)...)
 	}
 	return relays
 }
--- a/plugin/membership/seeds.go
+++ b/plugin/membership/seeds.go
@@ -58,8 +58,7 @@
 func (m *Module) standing() (alone, first bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	others := m.otherRelays()
-	return len(m.ownRelays()) <= 1 && len(others) == 0, m.rank() == 0
+	return m.alone(), m.rank() == 0
 }
 
 // refreshSeeds takes in the seeds of all failure domains and, if write is
