Ask the next seed at once while seeds tell of new relays

Change: after an answer of a seed that changed what the node knows, the next seed is due at once. Answers that tell nothing new lead to no more.

--- a/plugin/membership/report.go
+++ b/plugin/membership/report.go
@@ -237,9 +237,14 @@
 	for _, entry := range answer.Relays {
 		answer.Records = append(answer.Records, membership.Record{Entry: entry})
 	}
+	before := m.table.Sequence()
 	for _, record := range answer.Records {
 		m.table.Learn(record, m.trusts(relay, answer, record.Entry), now)
 	}
+	if c.vm == "" && m.table.Sequence() != before {
+		// The next seed may know more.
+		m.seedDue = now
+	}
 	m.table.Vouch(answer.VM, now)
 	if !answer.Relay {
 		if c.vm != "" {
