--- a/membership/table.go
+++ b/membership/table.go
@@ -130,6 +130,20 @@
 	}
 }
 
+// HearAgain takes in a heartbeat of a node whose entry is known: it is the
+// same as hearing the entry again with the revision held. It returns false if
+// the incarnation's entry, in this version or a later one, is not known.
+func (t *Table) HearAgain(vm string, incarnation, version uint64, held int64, now time.Time) bool {
+	m, known := t.members[vm]
+	if !known || m.entry.Incarnation != incarnation || m.entry.Version < version {
+		return false
+	}
+	entry := m.entry
+	entry.ConfigRevision = max(entry.ConfigRevision, held)
+	t.Hear(entry, now)
+	return true
+}
+
 // Learn takes in a record passed on by another node. Only an authority on
 // whether the VM lives, such as a relay of its failure domain, removes it or
 // brings it back.
@@ -253,6 +267,23 @@
 	return collect(t.in(domain), func(m *member) bool { return m.removed && m.removedAt.After(after) })
 }
 
+// Held returns the lowest revision held by a live VM of a failure domain, 0 if
+// there is none, and whether a VM was removed after the time. It sorts and
+// copies nothing, for it is called often.
+func (t *Table) Held(domain string, after time.Time) (lowest int64, missing bool) {
+	first := true
+	for _, m := range t.in(domain) {
+		switch {
+		case m.removed:
+			missing = missing || m.removedAt.After(after)
+		case m.hidden:
+		case first || m.entry.ConfigRevision < lowest:
+			lowest, first = m.entry.ConfigRevision, false
+		}
+	}
+	return lowest, missing
+}
+
 // Hidden reports whether a failure domain is unheard as a whole.
 func (t *Table) Hidden(domain string) bool {
 	for _, m := range t.in(domain) {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -119,3 +119,83 @@
 	}
 	assert.DeepEqual(t, names, []string{"new", "slow"})
 }
+
+// TestHeartbeatEqualsHearingTheEntryAgain covers heartbeats without an entry:
+// they do what the entry would do, and nothing if the node was started again
+// or changed its entry since.
+func TestHeartbeatEqualsHearingTheEntryAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		told := entry("x", rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Uint64Range(1, 3).Draw(t, "version"))
+		whole, heartbeats := NewTable(), NewTable()
+		removed := rapid.Bool().Draw(t, "removed")
+		for _, table := range []*Table{whole, heartbeats} {
+			table.Hear(told, start)
+			if removed {
+				table.Remove("x", start)
+			}
+		}
+		now := start.Add(time.Second)
+		next := entry("x", rapid.Uint64Range(1, 3).Draw(t, "next incarnation"), rapid.Uint64Range(1, 3).Draw(t, "next version"))
+		next.ConfigRevision = 7
+		understood := heartbeats.HearAgain("x", next.Incarnation, next.Version, next.ConfigRevision, now)
+		assert.Equal(t, understood, next.Incarnation == told.Incarnation && next.Version <= told.Version)
+		if understood {
+			next.Version = told.Version
+			whole.Hear(next, now)
+			assert.Equal(t, heartbeats.HeardAt("x"), now)
+		}
+		assert.DeepEqual(t, heartbeats.Entries(), whole.Entries())
+		assert.Equal(t, heartbeats.Sequence(), whole.Sequence())
+	})
+}
+
+func TestHeartbeatOfAnUnknownNodeIsNotUnderstood(t *testing.T) {
+	table := NewTable()
+	assert.Assert(t, !table.HearAgain("x", 1, 1, 0, start))
+	assert.Equal(t, len(table.Entries()), 0)
+}
+
+// TestRevisionHeldNeverGoesBack covers a heartbeat that arrives after a later
+// one: acceptance must not be told of an earlier revision, nor a later one.
+func TestRevisionHeldNeverGoesBack(t *testing.T) {
+	table := NewTable()
+	table.Hear(entry("x", 1, 1), start)
+	assert.Assert(t, table.HearAgain("x", 1, 1, 9, start))
+	assert.Assert(t, table.HearAgain("x", 1, 1, 8, start))
+	assert.Equal(t, table.Entries()[0].ConfigRevision, int64(9))
+}
+
+func TestSumTellsVersionsApart(t *testing.T) {
+	known := []Entry{entry("x", 1, 1), entry("y", 1, 1)}
+	assert.Equal(t, Sum(known), Sum([]Entry{entry("x", 1, 1), entry("y", 1, 1)}))
+	for _, other := range [][]Entry{nil, known[:1], {known[1], known[0]}, {known[0], entry("y", 1, 2)}, {known[0], entry("y", 2, 1)}} {
+		assert.Assert(t, Sum(other) != Sum(known))
+	}
+}
+
+// TestHeldIsTheLowestOfTheLiveVMs compares it with the lists of the VMs.
+func TestHeldIsTheLowestOfTheLiveVMs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		for i := range rapid.IntRange(0, 5).Draw(t, "vms") {
+			e := entry(fmt.Sprint("vm", i), 1, 1)
+			e.ConfigRevision = rapid.Int64Range(1, 3).Draw(t, "revision")
+			table.Hear(e, start)
+			if rapid.Bool().Draw(t, "removed") {
+				table.Remove(e.VM, start.Add(time.Duration(rapid.IntRange(0, 2).Draw(t, "at"))))
+			}
+		}
+		if rapid.Bool().Draw(t, "hidden") {
+			table.HideDomain("a")
+		}
+		wanted := int64(0)
+		for i, e := range table.Domain("a") {
+			if i == 0 || e.ConfigRevision < wanted {
+				wanted = e.ConfigRevision
+			}
+		}
+		lowest, missing := table.Held("a", start)
+		assert.Equal(t, lowest, wanted)
+		assert.Equal(t, missing, len(table.Missing("a", start)) > 0)
+	})
+}
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -35,9 +35,11 @@
 	minInterval     = 50 * time.Millisecond
 	// exchangeTimeout bounds one message and its answer.
 	exchangeTimeout = 700 * time.Millisecond
-	// seedInterval is the time between two contacts with a seed, which join
-	// parts of the fleet that started without knowing each other.
-	seedInterval = 5 * time.Second
+	// seedInterval is the time between two contacts of a relay with a seed,
+	// which join parts of the fleet that started without knowing each other;
+	// otherSeedInterval is the mean time for other nodes.
+	seedInterval      = 5 * time.Second
+	otherSeedInterval = 60 * time.Second
 	// forgetAfter is how long removed VMs are remembered, so that nodes with
 	// an old cursor hear of the removal.
 	forgetAfter = 10 * time.Minute
@@ -96,6 +98,11 @@
 	primary int
 	// rounds counts the rounds of reports.
 	rounds int
+	// told has the version of the own entry that other nodes know, by VM.
+	told map[string]uint64
+	// announced is true if the own entry or subscriptions changed since the
+	// last round, behind if a relay said that it has changes.
+	announced, behind bool
 }
 
 // domainState is what a relay knows of another failure domain.
@@ -153,6 +160,7 @@
 	m.view.Store(membership.NewView(nil))
 	m.urgent = make(chan struct{}, 1)
 	m.cursors = map[string]cursor{}
+	m.told = map[string]uint64{}
 	m.domains = map[string]*domainState{}
 	m.services = map[string]*subscription{}
 	m.whole = map[string]bool{}
@@ -195,6 +203,7 @@
 	change(&m.self)
 	m.self.Version++
 	m.table.Hear(m.self, m.clock.Now())
+	m.announced = true
 	m.publish()
 	m.mu.Unlock()
 	m.wake()
@@ -206,6 +215,7 @@
 	m.mu.Lock()
 	m.self.ConfigRevision = revision
 	m.table.Hear(m.self, m.clock.Now())
+	m.announced = true
 	m.mu.Unlock()
 	m.wake()
 }
@@ -239,6 +249,11 @@
 	return membership.Rank(m.ownRelays(), m.self.VM)
 }
 
+// alone reports whether this node knows no other. The caller holds m.mu.
+func (m *Module) alone() bool {
+	return len(m.ownRelays()) <= 1 && len(m.otherRelays()) == 0
+}
+
 // ownRelays returns the relays of the own failure domain, among the VMs that
 // this node knows. The caller holds m.mu and does not change the slice.
 func (m *Module) ownRelays() []membership.Entry {
@@ -267,6 +282,7 @@
 		s = &subscription{answered: make(chan struct{})}
 		m.services[service] = s
 		m.cursors = map[string]cursor{}
+		m.announced = true
 	}
 	m.mu.Unlock()
 	if !known {
