--- a/internal/bench/answers.go
+++ b/internal/bench/answers.go
@@ -33,9 +33,9 @@
 	answerTime     = 8 * time.Second
 	freezeMax      = 900 * time.Millisecond
 	reorderDelay   = 30 * time.Millisecond
-	answerOffTime  = 5 * time.Second
-	smallRate      = 75
-	smallTime      = 4 * time.Second
+	answerOffTime  = 3 * time.Second
+	smallRate      = 100
+	smallTime      = 3 * time.Second
 	warmTime       = 1 * time.Second
 	smallBytes     = 1000
 	bulkBytes      = 5 << 20
@@ -76,11 +76,12 @@
 func runAnswers(ctx context.Context, env *Env) (*Report, error) {
 	unchecked := map[string]json.RawMessage{"ingress": json.RawMessage(`{"experiments": {"unchecked_answers": true}}`)}
 	off := &answerFigures{}
-	if err := off.integrity(ctx, env, unchecked, answerOffTime); err != nil {
+	// Large answers only, so that each fault meets one on its way.
+	if err := off.integrity(ctx, env, answerArm{unchecked, answerSizes[len(answerSizes)-1:], answerOffTime}); err != nil {
 		return nil, err
 	}
 	f := &answerFigures{UncheckedAnswers: off.Answers, UncheckedWrong: off.Wrong}
-	if err := f.integrity(ctx, env, nil, answerTime); err != nil {
+	if err := f.integrity(ctx, env, answerArm{nil, answerSizes, answerTime}); err != nil {
 		return nil, err
 	}
 	if err := f.besideDownloads(ctx); err != nil {
@@ -116,15 +117,22 @@
 	return fleet, keys[0], err
 }
 
+// answerArm is a run that compares answers of the sizes.
+type answerArm struct {
+	modules map[string]json.RawMessage
+	sizes   []int
+	length  time.Duration
+}
+
 // integrity compares every answer that came with a success status with what
 // the upstream sent, while connections freeze, lag and go silent.
-func (f *answerFigures) integrity(ctx context.Context, env *Env, modules map[string]json.RawMessage, length time.Duration) error {
-	fleet, key, err := answerFleet(ctx, modules)
+func (f *answerFigures) integrity(ctx context.Context, env *Env, arm answerArm) error {
+	fleet, key, err := answerFleet(ctx, arm.modules)
 	if err != nil {
 		return err
 	}
 	defer fleet.Close()
-	ctx, cancel := context.WithTimeout(ctx, length)
+	ctx, cancel := context.WithTimeout(ctx, arm.length)
 	defer cancel()
 	var mu sync.Mutex
 	var group sync.WaitGroup
@@ -133,7 +141,7 @@
 		group.Go(func() {
 			for number := 0; ctx.Err() == nil; number++ {
 				id := fmt.Sprintf("answer-%d-%d", worker, number)
-				whole, wrong := fetchAnswer(ctx, fleet.Nodes[0], key, id, random)
+				whole, wrong := fetchAnswer(ctx, fleet.Nodes[0], key, id, arm.sizes, random)
 				if ctx.Err() != nil {
 					return
 				}
@@ -181,8 +189,8 @@
 
 // fetchAnswer asks for an answer of a random size, chunked or not. A broken
 // answer is neither whole nor wrong.
-func fetchAnswer(ctx context.Context, node *rig.Node, key Key, id string, random *rand.Rand) (whole, wrong bool) {
-	size := answerSizes[random.IntN(len(answerSizes))]
+func fetchAnswer(ctx context.Context, node *rig.Node, key Key, id string, sizes []int, random *rand.Rand) (whole, wrong bool) {
+	size := sizes[random.IntN(len(sizes))]
 	target := fmt.Sprintf("http://%s/fares/quote?bytes=%d&chunked=%d", node.Callers, size, random.IntN(2))
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
 	if err != nil {
