Let requests wait for a cold upstream that will soon run them

The one VM left had started seconds before: its limit doubles from a sixteenth of its slots, and what arrived meanwhile was refused for want of room or after 100 ms. Ingresses shed by the same cold limit.

Change: until the limit has passed half of the slots and what waited has run (1 s at most), the queue has room for what the slots will run, requests wait up to five times longer, the oldest first, and the level published goes by the slots. drain also says why an answered request was not answered again.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -65,13 +65,17 @@
 	// idle is when the queue was last found empty by an arrival.
 	idle     time.Time
 	sequence uint64
+	// warming is true until the limit is no longer cold and what waited for it
+	// has run; coldAt is when the limit was last cold.
+	warming bool
+	coldAt  time.Time
 }
 
 // NewController returns a controller for an upstream that has just started.
 func NewController(opts Options, now time.Time) *Controller {
 	return &Controller{
 		opts: opts, limit: NewLimit(opts.Slots, opts.Limit, now), queue: newQueue(),
-		running: map[*Request]bool{}, idle: now,
+		running: map[*Request]bool{}, idle: now, warming: true, coldAt: now,
 	}
 }
 
@@ -79,6 +83,13 @@
 // are ordered by rank and the newest run first.
 const overloadAfter = 50 * time.Millisecond
 
+const (
+	// coldWaits is how many times longer requests may wait for a cold upstream.
+	coldWaits = 5
+	// warmTime bounds how long they may do so once the limit is not cold.
+	warmTime = 1 * time.Second
+)
+
 // Arrive takes in a request and returns what becomes of it and of others.
 // Without an action for it the request waits.
 func (c *Controller) Arrive(r *Request, now time.Time) []Action {
@@ -131,10 +142,20 @@
 		actions = append(actions, Action{Request: r, Code: call.CodeOverloaded})
 	}
 	c.limit.Tick(now)
+	c.warm(now)
 	c.queue.forget()
 	return c.fill(actions, now)
 }
 
+// warm ends the longer waits for a cold upstream.
+func (c *Controller) warm(now time.Time) {
+	if c.limit.Cold() {
+		c.coldAt = now
+		return
+	}
+	c.warming = c.warming && c.queue.len() > 0 && now.Sub(c.coldAt) < warmTime
+}
+
 // room returns how many requests may wait: as many as are likely to run within
 // the longest wait.
 func (c *Controller) room() int {
@@ -142,15 +163,26 @@
 		return c.opts.Queue
 	}
 	limit := c.limit.Value()
+	if c.warming {
+		limit = c.opts.Slots
+	}
 	served := int64(limit) * int64(c.maxWait()) / int64(c.service.mean)
 	return min(c.opts.Queue, max(limit, int(served)))
 }
 
-func (c *Controller) maxWait() time.Duration { return max(c.opts.MaxWait, c.service.mean) }
+// maxWait returns the longest time in the queue. Requests wait longer for a
+// cold upstream, whose limit doubles in that time.
+func (c *Controller) maxWait() time.Duration {
+	wait := max(c.opts.MaxWait, c.service.mean)
+	if c.warming {
+		return coldWaits * wait
+	}
+	return wait
+}
 
 // fill starts requests while the limit allows it.
 func (c *Controller) fill(actions []Action, now time.Time) []Action {
-	overloaded := now.Sub(c.idle) > overloadAfter
+	overloaded := !c.warming && now.Sub(c.idle) > overloadAfter
 	for len(c.running) < c.limit.Value() && c.queue.len() > 0 {
 		r := c.queue.pop(overloaded)
 		if now.Add(c.service.likely()).After(r.Deadline) {
@@ -169,6 +201,9 @@
 // State is a controller's state for metrics, routing and shedding.
 type State struct {
 	Running, Queued, Limit int
+	// Expected is the limit that a cold upstream is likely to come to, its
+	// slots; otherwise it is the limit.
+	Expected int
 	// Service is the mean time that requests run; 0 if none has run yet.
 	Service time.Duration
 	// Dropped counts the requests that were refused for want of room or time.
@@ -177,8 +212,12 @@
 
 // State returns the state.
 func (c *Controller) State(now time.Time) State {
+	expected := c.limit.Value()
+	if c.warming {
+		expected = c.opts.Slots
+	}
 	return State{
-		Running: len(c.running), Queued: c.queue.len(), Limit: c.limit.Value(),
+		Running: len(c.running), Queued: c.queue.len(), Limit: c.limit.Value(), Expected: expected,
 		Service: c.serviceTime(now), Dropped: c.dropped,
 	}
 }
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -116,6 +116,10 @@
 // Value returns the limit.
 func (l *Limit) Value() int { return l.value }
 
+// Cold reports whether the limit is still being doubled and below half of the
+// slots.
+func (l *Limit) Cold() bool { return l.ramping && 2*l.value < l.slots }
+
 // Running records how many requests run and whether others wait.
 func (l *Limit) Running(running int, waiting bool) {
 	l.epoch.peak = max(l.epoch.peak, running)
--- a/internal/bench/drain.go
+++ b/internal/bench/drain.go
@@ -169,6 +169,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.repeats.lost != "" {
+		d.figures.Reasons += "; sent again: " + d.repeats.lost
+	}
 	d.figures.Resent, d.figures.ResentAnswered = d.repeats.sent, d.repeats.answered
 	d.figures.RunTwice, err = d.repeats.runTwice()
 	return d.figures, err
--- a/internal/bench/drain_repeats.go
+++ b/internal/bench/drain_repeats.go
@@ -33,6 +33,8 @@
 	list   []repeat
 	// sent counts the sends after a stop; answered those with the same answer.
 	sent, answered int
+	// lost says what became of the last send that was not.
+	lost string
 }
 
 // repeat is a request with its first answer.
@@ -83,7 +85,9 @@
 		r.sent++
 		if err == nil && resp.Outcome == call.Answered && bytes.Equal(resp.Body, repeat.body) {
 			r.answered++
+			continue
 		}
+		r.lost = failureReason(resp, err)
 	}
 }
 
--- a/plugin/inbound/gate.go
+++ b/plugin/inbound/gate.go
@@ -167,6 +167,8 @@
 	now := g.module.clock.Now()
 	g.carryOut(g.controller.Tick(now))
 	state := g.controller.State(now)
+	// A cold limit says nothing of what the upstream can do.
+	state.Limit = state.Expected
 	g.publisher.Observe(state)
 	g.ticks++
 	if g.ticks%ticksPerLevel != 0 {
