Ask for a stopped pin's answers until those who may have them answer

Change: a pin that was leaving and cannot be reached counts as stopped; the question is repeated every 250 ms within the time for settling, and the loss of the pin is final only if everyone asked answered.

--- a/internal/bench/delivery_test.go
+++ b/internal/bench/delivery_test.go
@@ -31,6 +31,6 @@
 	figures, err := drainRun(ctx, &Env{Seed: 1}, drainArm{vms: 2, restarts: 1})
 	assert.NilError(t, err)
 	assert.Assert(t, figures.Resent > 0)
-	assert.Equal(t, figures.ResentAnswered, figures.Resent)
+	assert.Equal(t, figures.ResentAnswered, figures.Resent, figures.Reasons)
 	assert.Equal(t, figures.RunTwice, 0)
 }
--- a/plugin/dispatch/pinned.go
+++ b/plugin/dispatch/pinned.go
@@ -16,6 +16,9 @@
 	// connection was lost.
 	settleTimeout = 1500 * time.Millisecond
 	settlePause   = 50 * time.Millisecond
+	// heirsPause is the least time between two questions for the answer of a
+	// pin that stopped.
+	heirsPause = 250 * time.Millisecond
 )
 
 // Pin implements Dispatcher.
@@ -50,9 +53,9 @@
 	resent bool
 	// mayHaveRun means that the pinned node may have seen the ID.
 	mayHaveRun bool
-	// askedHeirs is set once those were asked that a pin which left the fleet
-	// may have handed its answers to.
-	askedHeirs bool
+	// heirsAsked is when those were last asked that a stopped pin may have
+	// handed its answers to.
+	heirsAsked time.Time
 }
 
 // run pins the request to one VM after another until one takes it. Another VM
@@ -87,9 +90,6 @@
 // pin's from an unknown outcome.
 func (d *pinnedDispatch) settle(ctx context.Context) (*call.Reply, io.ReadCloser) {
 	reply, answer := d.askUntilSettled(ctx)
-	if reply.Code == call.CodePinLost {
-		reply, answer = d.inherited(ctx, reply)
-	}
 	if d.mayHaveRun && reply.Outcome == call.Refused && !reply.Settled {
 		unsure := *reply
 		unsure.Outcome = call.Unknown
@@ -136,25 +136,36 @@
 	case known && entry.Incarnation > d.head.Pin.Incarnation:
 		reply := call.Unsure(call.CodePinLost, "the node that may have run the request was replaced; it will not be run again")
 		reply.Settled = true
-		return reply, nil
+		return d.inherited(ctx, reply)
 	case !known || entry.State == membership.Gone:
 		lost := d.unsettled(call.CodeConnectionLost, "the VM of the request is not a member")
-		if !d.mayHaveRun || d.askedHeirs {
+		if !d.mayHaveRun {
 			return lost, nil
 		}
-		d.askedHeirs = true
 		return d.inherited(ctx, lost)
 	}
 	reply, answer := d.try(ctx, entry)
 	if reply.Outcome == call.Unknown {
 		d.mayHaveRun = true
 	}
+	// A pin that was leaving may have stopped before this node hears of it.
+	stopped := reply.Code == call.CodeConnectionLost && entry.State == membership.Leaving && d.mayHaveRun
+	if reply.Code == call.CodePinLost || stopped {
+		return d.inherited(ctx, reply)
+	}
 	return reply, answer
 }
 
 // inherited looks for the answer that a pin handed on before it stopped. The
-// loss of the pin is final only if everyone who may have the answer was asked.
+// loss of the pin is final only if everyone who may have the answer was asked;
+// until then the connection to them counts as lost.
 func (d *pinnedDispatch) inherited(ctx context.Context, lost *call.Reply) (*call.Reply, io.ReadCloser) {
+	d.mayHaveRun = true
+	unreached := call.Unsure(call.CodeConnectionLost, "a VM that may have the request's answer is out of reach")
+	if d.clock.Since(d.heirsAsked) < heirsPause {
+		return unreached, nil
+	}
+	d.heirsAsked = d.clock.Now()
 	reply, answer, reached := d.local.Inherited(ctx, &d.head, d.body)
 	switch {
 	case reply != nil:
@@ -162,7 +173,7 @@
 	case reached:
 		return lost, nil
 	}
-	return call.Unsure(call.CodeConnectionLost, "a VM that may have the request's answer is out of reach"), nil
+	return unreached, nil
 }
 
 // pinned returns the entry of the pinned VM. A node that has not sent to the
