Lose nothing that an operator typed in the console, and say what stands beside

Cause, found by going through the console by its forms: a store outage, a lost answer, an ended session or a conflict led to a page that had none of what was typed; a change sent twice was made twice; a failure to follow a change was titled "Nothing was changed"; adding an element under a name in use was shown as another operator's conflict; an invalid ID led away from its form and a finding for an entry of open_to stood beside no field; a type error was told as "expected a value of type float64"; two elements of the key's form had one ID; undo was made without a preview; four listeners could have one address, which the node told only when it started. Excluded: scripts (the pages have none, and a Content-Security-Policy that allows none). Change: previews carry the ID of the change; forms come back with their values, also over a new sign-in; conflicts show who changed the field, when and why, over a form in which only the fields in conflict have the value of now; names to choose from; skip link, labels, focus on the first problem; long lists of VMs and changes are cut; the progress page says what to do. Listeners must have different addresses. Type errors name kinds that people know.

--- a/edit/edit.go
+++ b/edit/edit.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -71,6 +72,11 @@
 	Conflicts []Conflict
 }
 
+// About reports whether the field is among the conflicts.
+func (e *ConflictError) About(field string) bool {
+	return slices.ContainsFunc(e.Conflicts, func(c Conflict) bool { return c.Field == field })
+}
+
 // Error implements error.
 func (e *ConflictError) Error() string {
 	lines := make([]string, len(e.Conflicts))
--- a/jsonc/jsonc.go
+++ b/jsonc/jsonc.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"reflect"
 	"strconv"
 	"strings"
@@ -130,11 +131,41 @@
 func leafMessage(err error) string {
 	var wrong *json.UnmarshalTypeError
 	if errors.As(err, &wrong) {
-		return "expected a value of type " + wrong.Type.String() + ", found " + wrong.Value
+		return "expected " + kindName(wrong.Type) + ", found " + foundName(wrong.Value)
 	}
 	return err.Error()
 }
 
+// kindName says which values a type takes.
+func kindName(t reflect.Type) string {
+	switch kind := t.Kind(); {
+	case kind == reflect.String:
+		return "a string"
+	case kind == reflect.Bool:
+		return "true or false"
+	case kind == reflect.Float32, kind == reflect.Float64:
+		return "a number"
+	case kind >= reflect.Uint && kind < reflect.Uint64 && t.Bits() < strconv.IntSize:
+		return fmt.Sprintf("a number from 0 to %d without fraction", 1<<t.Bits()-1)
+	case kind >= reflect.Int && kind <= reflect.Uint64:
+		return "a number without fraction"
+	}
+	return "a value of type " + t.String()
+}
+
+// foundName says what kind of value the json package found; a number that does
+// not fit is given as it is.
+func foundName(value string) string {
+	if number, ok := strings.CutPrefix(value, "number "); ok {
+		return number
+	}
+	switch value {
+	case "array", "object":
+		return "an " + value
+	}
+	return "a " + value
+}
+
 func (d *decoder) object(v *hujson.Value, target reflect.Value, pointer string) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
--- a/plugin/console/console.go
+++ b/plugin/console/console.go
@@ -26,6 +26,12 @@
 // ID is the module's ID.
 const ID kernel.ID = "console"
 
+// pathChanges takes a change that was previewed.
+const pathChanges = "/changes"
+
+// contentPolicy lets a page use nothing but its own styles and forms.
+const contentPolicy = "default-src 'none'; style-src 'unsafe-inline'; form-action 'self'; frame-ancestors 'none'; base-uri 'none'"
+
 // storeTimeout bounds the store calls of one request.
 const storeTimeout = 10 * time.Second
 
@@ -76,6 +82,7 @@
 	e.Renderer = &renderer{templates: templates}
 	m.clock = ctx.Clock
 	m.sessions = newSessions(ctx.Node.FleetSecret, ctx.Clock, m.service)
+	m.sessions.renew, m.sessions.resume = m.renew, m.resume
 	m.register(e)
 	return nil
 }
@@ -87,11 +94,12 @@
 	pages.POST("/logout", m.logout)
 	pages.GET("/", m.showOverview)
 	pages.GET("/part/:collection", m.showCollection)
+	pages.GET("/part/keys/new", m.showGrant)
 	pages.GET("/part/:collection/new", m.showNew)
 	pages.GET("/part/:collection/edit/:id", m.showEdit)
 	pages.POST("/part/:collection/preview", m.preview)
 	pages.POST("/part/:collection/remove", m.previewRemoval)
-	pages.POST("/changes", m.commit)
+	pages.POST(pathChanges, m.commit)
 	pages.GET("/progress", m.showProgress)
 	pages.GET("/history", m.showHistory)
 	pages.POST("/undo", m.undo)
@@ -105,6 +113,8 @@
 	Title    string
 	Operator string
 	CSRF     string
+	// Part is the collection that the page belongs to, if any.
+	Part string
 	// Refresh is the time in seconds after which the page loads again; 0 for
 	// never.
 	Refresh     int
@@ -120,8 +130,9 @@
 	s := sessionOf(c)
 	c.Response().Header().Set("Cache-Control", "no-store")
 	c.Response().Header().Set("X-Frame-Options", "DENY")
+	c.Response().Header().Set("Content-Security-Policy", contentPolicy)
 	return c.Render(status, name, page{
-		Title: title, Operator: s.operator, CSRF: s.csrf, Refresh: refresh,
+		Title: title, Operator: s.operator, CSRF: s.csrf, Refresh: refresh, Part: c.Param("collection"),
 		Collections: collections, Content: content,
 	})
 }
@@ -133,26 +144,44 @@
 	Conflicts []edit.Conflict
 }
 
-// refuse shows an error with what to do next.
-func (m *Module) refuse(c echo.Context, err error) error {
-	content := problem{Message: err.Error()}
-	status, title := http.StatusBadRequest, "Nothing was changed"
+// failure is how an error is shown.
+type failure struct {
+	status int
+	title  string
+	problem
+}
+
+const (
+	messageUnavailable = "The store does not answer, so no change can be accepted now. Nothing was changed and traffic goes on. Try again in a minute."
+	messageUnknown     = "The store did not answer in time. The change may or may not have been made: press the button again, which makes it at most once, or look at the history."
+)
+
+// describe says what an error means and what to do next.
+func describe(err error) failure {
+	f := failure{status: http.StatusBadRequest, title: "Nothing was changed", problem: problem{Message: err.Error()}}
 	var conflict *edit.ConflictError
 	var invalid *finding.Error
 	switch {
 	case errors.As(err, &conflict):
-		status, title = http.StatusConflict, "Another operator changed the same field"
-		content = problem{Message: "Nothing was changed. Open the form again to start from the values of now.", Conflicts: conflict.Conflicts}
+		f.status, f.title = http.StatusConflict, "Another operator changed the same field"
+		f.problem = problem{Message: "Nothing was changed. Open the form again to start from the values of now.", Conflicts: conflict.Conflicts}
 	case errors.As(err, &invalid):
-		status = http.StatusUnprocessableEntity
-		content = problem{Message: "The change is not valid.", Findings: invalid.Findings}
+		f.status = http.StatusUnprocessableEntity
+		f.problem = problem{Message: "The change is not valid.", Findings: invalid.Findings}
+	case errors.Is(err, edit.ErrUnchanged):
+		f.status, f.Message = http.StatusOK, "The configuration is like this already, so there was nothing to change."
 	case errors.Is(err, store.ErrOutcomeUnknown):
-		status, title = http.StatusGatewayTimeout, "It is not known whether the change was made"
+		f.status, f.title, f.Message = http.StatusGatewayTimeout, "It is not known whether the change was made", messageUnknown
 	case errors.Is(err, store.ErrUnavailable):
-		status = http.StatusServiceUnavailable
-		content.Message = "The store does not answer, so no change can be accepted now. Traffic goes on. Try again in a minute."
+		f.status, f.Message = http.StatusServiceUnavailable, messageUnavailable
 	}
-	return m.render(c, status, "problem.html", title, content)
+	return f
+}
+
+// refuse shows an error with what to do next.
+func (m *Module) refuse(c echo.Context, err error) error {
+	f := describe(err)
+	return m.render(c, f.status, "problem.html", f.title, f.problem)
 }
 
 func storeContext(c echo.Context) (context.Context, context.CancelFunc) {
--- a/plugin/console/console_test.go
+++ b/plugin/console/console_test.go
@@ -20,6 +20,7 @@
 	t      *testing.T
 	base   string
 	client *http.Client
+	token  string
 }
 
 func startConsole(t *testing.T) (base, token string) {
--- a/plugin/console/form.go
+++ b/plugin/console/form.go
@@ -177,6 +177,10 @@
 	Old      string
 	Problem  string
 	ReadOnly bool
+	// First is true for the first field with a problem, which has the focus.
+	First bool
+	// Choices are the names that the field may have.
+	Choices []string
 }
 
 // form is the content of a form page.
@@ -188,6 +192,33 @@
 	Inputs     []input
 	// Other has the findings that belong to no field of the form.
 	Other []string
+	// Conflicts are the fields that another operator changed meanwhile.
+	Conflicts []edit.Conflict
+}
+
+// field returns the path of a field of the form's element.
+func (f *form) field(name string) string {
+	return "/" + f.Collection.Name + "/" + f.ID + "/" + name
+}
+
+// choose sets the names that fields may have, and which field has the focus.
+func (f *form) choose(doc *config.Document) {
+	first := true
+	for i := range f.Inputs {
+		in := &f.Inputs[i]
+		in.First = first && in.Problem != ""
+		first = first && in.Problem == ""
+		switch in.Name {
+		case "organisation":
+			for _, org := range doc.Organisations {
+				in.Choices = append(in.Choices, org.ID)
+			}
+		case "service":
+			for _, service := range doc.Services {
+				in.Choices = append(in.Choices, service.ID)
+			}
+		}
+	}
 }
 
 // openForm returns the form for an element of the document, or an empty one,
@@ -220,7 +251,7 @@
 		if in.ReadOnly || string(entered) == in.Old {
 			continue
 		}
-		e := edit.Edit{Field: "/" + f.Collection.Name + "/" + f.ID + "/" + in.Name, New: entered}
+		e := edit.Edit{Field: f.field(in.Name), New: entered}
 		if in.Old != "" {
 			e.Old = json.RawMessage(in.Old)
 		}
--- a/plugin/console/pages.go
+++ b/plugin/console/pages.go
@@ -1,9 +1,9 @@
 package console
 
 import (
-	"encoding/json"
 	"net/http"
-	"strconv"
+	"slices"
+	"strings"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -12,10 +12,11 @@
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/operator"
+	"github.com/mangomast/mangomast/settings"
 )
 
-// progressRefresh is how often the progress page loads again, in seconds.
-const progressRefresh = 1
+// maxMembers bounds the VMs in the overview's table.
+const maxMembers = 200
 
 // overview is the content of the first page.
 type overview struct {
@@ -23,6 +24,8 @@
 	Fresh    bool
 	Progress operator.Progress
 	Members  []membership.Entry
+	// More is the number of VMs that the table leaves out.
+	More int
 }
 
 func (m *Module) showOverview(c echo.Context) error {
@@ -35,9 +38,31 @@
 	if err != nil {
 		return m.refuse(c, err)
 	}
+	content.trim()
 	return m.render(c, http.StatusOK, "overview.html", "Overview", content)
 }
 
+// trim leaves out what is too much for a page. VMs behind the revision come
+// first.
+func (o *overview) trim() {
+	behind := func(e membership.Entry) bool { return e.ConfigRevision < o.Revision }
+	slices.SortStableFunc(o.Members, func(a, b membership.Entry) int {
+		switch {
+		case behind(a) && !behind(b):
+			return -1
+		case behind(b) && !behind(a):
+			return 1
+		}
+		return strings.Compare(a.VM, b.VM)
+	})
+	if o.More = len(o.Members) - maxMembers; o.More > 0 {
+		o.Members = o.Members[:maxMembers]
+	}
+	if len(o.Progress.Waiting) > maxNames {
+		o.Progress.Waiting = append(o.Progress.Waiting[:maxNames:maxNames], "others")
+	}
+}
+
 // row is one element in a table.
 type row struct {
 	ID    string
@@ -92,7 +117,7 @@
 	if err != nil {
 		return m.refuse(c, err)
 	}
-	return m.render(c, http.StatusOK, "form.html", "New in "+spec.Title, opened)
+	return m.showForm(c, http.StatusOK, "New in "+spec.Title, opened)
 }
 
 func (m *Module) showEdit(c echo.Context) error {
@@ -109,7 +134,18 @@
 	if err != nil {
 		return m.refuse(c, err)
 	}
-	return m.render(c, http.StatusOK, "form.html", c.Param("id"), opened)
+	if opened.Inputs[0].Old == "" {
+		return m.refuse(c, errors.Errorf("%s has no %q any more", spec.Title, c.Param("id")))
+	}
+	return m.showForm(c, http.StatusOK, c.Param("id"), opened)
+}
+
+// showForm shows a form, with the names to choose from.
+func (m *Module) showForm(c echo.Context, status int, title string, f form) error {
+	if snapshot := m.config.Snapshot(); snapshot != nil {
+		f.choose(snapshot.Document)
+	}
+	return m.render(c, status, "form.html", title, f)
 }
 
 // entered reads a posted form.
@@ -127,15 +163,6 @@
 	return f
 }
 
-// previewContent is the content of the page that shows a change before it is
-// made.
-type previewContent struct {
-	Edits []edit.Edit
-	// Encoded carries the edits to the commit.
-	Encoded string
-	Note    string
-}
-
 // preview checks a form against the latest document and shows the difference,
 // or the form again with the findings beside its fields.
 func (m *Module) preview(c echo.Context) error {
@@ -144,30 +171,67 @@
 		return m.refuse(c, err)
 	}
 	f := entered(c, spec)
+	if f.New && !settings.ValidName(f.ID) {
+		f.place([]finding.Finding{{Field: f.field("id"), Message: "must be 1 to 63 lower-case letters, digits, '.', '_' or '-'"}})
+		return m.showForm(c, http.StatusUnprocessableEntity, "Mend the marked fields", f)
+	}
 	edits := f.edits()
-	current, err := m.read(c)
-	if err != nil {
-		return m.refuse(c, err)
+	ctx, cancel := storeContext(c)
+	defer cancel()
+	if err = m.service.Editor.Preview(ctx, edits); err != nil {
+		return m.refuseForm(c, f, err)
 	}
-	_, err = edit.Apply(current.Document, edits)
+	return m.showPreview(c, http.StatusOK, newPreview(edits, f.Note))
+}
+
+// refuseForm shows a form again with what was entered and with what is wrong.
+func (m *Module) refuseForm(c echo.Context, f form, err error) error {
+	var conflict *edit.ConflictError
 	var invalid *finding.Error
-	if errors.As(err, &invalid) {
+	switch {
+	case errors.As(err, &invalid):
 		f.place(invalid.Findings)
-		return m.render(c, http.StatusUnprocessableEntity, "form.html", "Mend the marked fields", f)
+		return m.showForm(c, http.StatusUnprocessableEntity, "Mend the marked fields", f)
+	case errors.As(err, &conflict) && f.New:
+		f.place([]finding.Finding{{Field: f.field("id"), Message: "exists already; choose another ID"}})
+		return m.showForm(c, http.StatusConflict, "Choose another ID", f)
+	case errors.As(err, &conflict):
+		return m.showConflict(c, f, conflict)
 	}
+	shown := describe(err)
+	f.Other = append(f.Other, shown.Message)
+	return m.showForm(c, shown.status, shown.title, f)
+}
+
+// showConflict shows what another operator changed above the form. Fields in
+// conflict have the other's value; what was entered elsewhere is kept.
+func (m *Module) showConflict(c echo.Context, f form, conflict *edit.ConflictError) error {
+	current, err := m.read(c)
+	if err != nil {
+		return m.refuseForm(c, f, err)
+	}
+	now, err := openForm(f.Collection, f.ID, edit.NewReader(current.Document))
 	if err != nil {
 		return m.refuse(c, err)
 	}
-	return m.showPreview(c, edits, f.Note)
+	f.Conflicts = conflict.Conflicts
+	for i := range f.Inputs {
+		in := &f.Inputs[i]
+		in.Old = now.Inputs[i].Old
+		if conflict.About(f.field(in.Name)) {
+			in.Value, in.Problem = now.Inputs[i].Value, "changed by another operator; this is the value of now"
+		}
+	}
+	return m.showForm(c, http.StatusConflict, describe(conflict).title, f)
 }
 
 // place puts findings beside the fields that they belong to.
 func (f *form) place(findings []finding.Finding) {
-	prefix := "/" + f.Collection.Name + "/" + f.ID + "/"
 	for _, found := range findings {
 		placed := false
 		for i := range f.Inputs {
-			if found.Field == prefix+f.Inputs[i].Name {
+			field := f.field(f.Inputs[i].Name)
+			if found.Field == field || strings.HasPrefix(found.Field, field+"/") {
 				f.Inputs[i].Problem = found.Message
 				placed = true
 			}
@@ -182,15 +246,6 @@
 	}
 }
 
-func (m *Module) showPreview(c echo.Context, edits []edit.Edit, note string) error {
-	encoded, err := json.Marshal(edits)
-	if err != nil {
-		return m.refuse(c, err)
-	}
-	content := previewContent{Edits: edits, Encoded: string(encoded), Note: note}
-	return m.render(c, http.StatusOK, "preview.html", "Check the change", content)
-}
-
 func (m *Module) previewRemoval(c echo.Context) error {
 	spec, err := m.collection(c)
 	if err != nil {
@@ -205,72 +260,8 @@
 	if err != nil {
 		return m.refuse(c, err)
 	}
-	return m.showPreview(c, []edit.Edit{{Field: field, Old: old}}, "")
-}
-
-func (m *Module) commit(c echo.Context) error {
-	var edits []edit.Edit
-	if err := json.Unmarshal([]byte(c.FormValue("edits")), &edits); err != nil {
-		return m.refuse(c, errors.New("the form is not valid; go back and try again"))
-	}
-	ctx, cancel := storeContext(c)
-	defer cancel()
-	proposal := edit.Proposal{Author: sessionOf(c).operator, Note: c.FormValue("note"), Edits: edits}
-	change, err := m.service.Editor.Commit(ctx, proposal)
-	return m.committed(c, change, err)
-}
-
-func (m *Module) committed(c echo.Context, change *edit.Change, err error) error {
-	if err != nil {
-		return m.refuse(c, err)
-	}
-	return c.Redirect(http.StatusSeeOther, "/progress?revision="+strconv.FormatInt(change.Revision, 10))
-}
-
-func (m *Module) showProgress(c echo.Context) error {
-	revision, err := strconv.ParseInt(c.QueryParam("revision"), 10, 64)
-	if err != nil {
-		return m.refuse(c, errors.New("the revision must be a number"))
-	}
-	progress, err := m.service.Progress(c.Request().Context(), revision)
-	if err != nil {
-		return m.refuse(c, err)
-	}
-	title, refresh := "Coming into force", progressRefresh
-	if progress.Accepted {
-		title, refresh = "In force", 0
-	}
-	return m.renderRefreshing(c, http.StatusOK, "progress.html", title, progress, refresh)
-}
-
-func (m *Module) showHistory(c echo.Context) error {
-	ctx, cancel := storeContext(c)
-	defer cancel()
-	changes, err := m.service.Editor.History(ctx)
-	if err != nil {
-		return m.refuse(c, err)
-	}
-	return m.render(c, http.StatusOK, "history.html", "History", changes)
-}
-
-func (m *Module) undo(c echo.Context) error {
-	number, err := strconv.ParseUint(c.FormValue("number"), 10, 64)
-	if err != nil {
-		return m.refuse(c, errors.New("the change's number is not valid"))
-	}
-	ctx, cancel := storeContext(c)
-	defer cancel()
-	change, err := m.service.Editor.Undo(ctx, number, edit.Proposal{Author: sessionOf(c).operator})
-	return m.committed(c, change, err)
-}
-
-func (m *Module) grantKey(c echo.Context) error {
-	ctx, cancel := storeContext(c)
-	defer cancel()
-	request := operator.KeyRequest{ID: c.FormValue("id"), Organisation: c.FormValue("organisation"), Note: c.FormValue("note")}
-	answer, err := m.service.GrantKey(ctx, sessionOf(c).operator, request)
-	if err != nil {
-		return m.refuse(c, err)
+	if old == nil {
+		return m.refuse(c, edit.ErrUnchanged)
 	}
-	return m.render(c, http.StatusOK, "key.html", "New key", answer)
+	return m.showPreview(c, http.StatusOK, newPreview([]edit.Edit{{Field: field, Old: old}}, ""))
 }
--- a/plugin/console/session.go
+++ b/plugin/console/session.go
@@ -34,6 +34,10 @@
 // accepts them, as the signing key comes from the fleet secret; an operator
 // whose token was withdrawn is signed out at once.
 type sessions struct {
+	// renew asks for a new sign-in and keeps the form that came without one;
+	// resume shows the form again to an operator who is signed in.
+	renew   func(c echo.Context, carried carriedForm) error
+	resume  func(c echo.Context, status int, carried carriedForm) error
 	key     []byte
 	clock   clockwork.Clock
 	service *operatorplugin.Service
@@ -83,38 +87,56 @@
 // that their own page carried.
 func (s *sessions) require(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		cookie, err := c.Cookie(sessionCookie)
-		if err != nil {
+		found, ok := s.signedIn(c)
+		post := c.Request().Method == http.MethodPost
+		switch {
+		case !ok && post:
+			return s.renew(c, carriedOf(c, c.Request().URL.Path))
+		case !ok:
 			return c.Redirect(http.StatusSeeOther, "/login")
 		}
-		found, ok := s.check(cookie.Value)
-		if !ok {
-			return c.Redirect(http.StatusSeeOther, "/login")
-		}
-		if c.Request().Method == http.MethodPost && !hmac.Equal([]byte(c.FormValue(csrfField)), []byte(found.csrf)) {
-			return c.String(http.StatusForbidden, "this form did not come from the console; go back and load the page again")
-		}
 		c.Set(sessionContextKey, found)
+		if post && !hmac.Equal([]byte(c.FormValue(csrfField)), []byte(found.csrf)) {
+			return s.resume(c, http.StatusForbidden, carriedOf(c, c.Request().URL.Path))
+		}
 		return next(c)
 	}
 }
 
+func (s *sessions) signedIn(c echo.Context) (session, bool) {
+	cookie, err := c.Cookie(sessionCookie)
+	if err != nil {
+		return session{}, false
+	}
+	return s.check(cookie.Value)
+}
+
 func sessionOf(c echo.Context) session {
 	found, _ := c.Get(sessionContextKey).(session)
 	return found
 }
 
 func (m *Module) showLogin(c echo.Context) error {
-	return m.render(c, http.StatusOK, "login.html", "Sign in", "")
+	return m.render(c, http.StatusOK, "login.html", "Sign in", carriedForm{})
 }
 
+// login signs an operator in. A form that was sent without a session is shown
+// again, with the token of the new one.
 func (m *Module) login(c echo.Context) error {
+	carried := carriedOf(c, c.FormValue(carriedPathField))
 	hash := operator.HashToken(strings.TrimSpace(c.FormValue("token")))
 	if _, ok := m.service.Authenticate(hash); !ok {
-		return m.render(c, http.StatusUnauthorized, "login.html", "Sign in", "That token is not known here.")
+		carried.Problem = "That token is not known here."
+		return m.render(c, http.StatusUnauthorized, "login.html", "Sign in", carried)
+	}
+	cookie := m.sessions.issue(hash)
+	c.SetCookie(cookie)
+	if carried.Path == "" {
+		return c.Redirect(http.StatusSeeOther, "/")
 	}
-	c.SetCookie(m.sessions.issue(hash))
-	return c.Redirect(http.StatusSeeOther, "/")
+	found, _ := m.sessions.check(cookie.Value)
+	c.Set(sessionContextKey, found)
+	return m.resume(c, http.StatusOK, carried)
 }
 
 func (m *Module) logout(c echo.Context) error {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -152,6 +152,7 @@
 	checkAddress(findings, "/listen/mesh", n.Listen.Mesh, false)
 	checkAddress(findings, "/listen/egress", n.Listen.Egress, true)
 	checkAddress(findings, "/listen/admin", n.Listen.Admin, false)
+	n.Listen.checkDifferent(findings)
 	for i, endpoint := range n.Store.Endpoints {
 		checkURL(findings, "/store/endpoints/"+strconv.Itoa(i), endpoint)
 	}
@@ -169,6 +170,21 @@
 	}
 }
 
+// checkDifferent adds a finding for each listener that has the address of an
+// earlier one.
+func (l Listen) checkDifferent(findings *finding.List) {
+	listeners := []struct{ name, address string }{
+		{"callers", l.Callers}, {"mesh", l.Mesh}, {"egress", l.Egress}, {"admin", l.Admin},
+	}
+	for i, listener := range listeners {
+		for _, earlier := range listeners[:i] {
+			if listener.address == earlier.address && listener.address != "" {
+				findings.Addf("/listen/"+listener.name, "%q is the address of %s too", listener.address, earlier.name)
+			}
+		}
+	}
+}
+
 // Validate adds the upstream's errors to findings; prefix is the JSON pointer
 // of the upstream. An upstream without a service is not checked.
 func (u *Upstream) Validate(prefix string, findings *finding.List) {
