Tell apart what came of a change on the command line, and show it before

Excluded: sending a key's secret over the network (the client makes it and sends its hash). Tests: TestACommandSaysWhatCameOfAChange and TestAnAnswerThatIsLostIsNoRefusal; neither compiles or passes before (the codes and options are new).

--- a/cmd/mangomast/document.go
+++ b/cmd/mangomast/document.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -20,55 +21,160 @@
 
 // waitOptions are the options of the commands that change the document.
 type waitOptions struct {
-	Note string        `long:"note" description:"reason, kept in the history"`
 	Wait time.Duration `long:"wait" default:"10s" description:"how long to wait until the change is in force; 0 not to wait"`
 }
 
-// changed reports a change and waits until it is in force.
-func (a *app) changed(change *edit.Change, wait time.Duration) error {
-	progress, err := a.follow(change.Revision, wait)
+// changeOptions are the options of the commands that change fields.
+type changeOptions struct {
+	waitOptions
+	DryRun bool `long:"dry-run" description:"show the difference and change nothing"`
+}
+
+// noteOptions are the options of the commands whose reason is given.
+type noteOptions struct {
+	Note string `long:"note" description:"reason, kept in the history"`
+}
+
+// changeResult is what a command prints of a change.
+type changeResult struct {
+	// Unchanged is true if there was nothing to change.
+	Unchanged bool `json:"unchanged,omitempty"`
+	// Key is a new key, shown this once.
+	Key      string             `json:"key,omitempty"`
+	Change   *edit.Change       `json:"change,omitempty"`
+	Progress *operator.Progress `json:"progress,omitempty"`
+}
+
+// changed reports what a command that changes something came to, and waits
+// until the change is in force.
+func (a *app) changed(change *edit.Change, err error, wait time.Duration) error {
+	if errors.Is(err, edit.ErrUnchanged) {
+		return a.print(changeResult{Unchanged: true}, func(w io.Writer) error {
+			_, err := fmt.Fprintln(w, edit.ErrUnchanged)
+			return err
+		})
+	}
 	if err != nil {
-		return err
+		return explain(err)
 	}
-	result := struct {
-		Change   *edit.Change       `json:"change"`
-		Progress *operator.Progress `json:"progress,omitempty"`
-	}{change, progress}
-	err = a.print(result, func(w io.Writer) error {
-		if _, err := fmt.Fprintf(w, "change %d was accepted by the store at revision %d\n", change.Number, change.Revision); err != nil {
+	return a.follow(changeResult{Change: change}, wait)
+}
+
+// follow prints an accepted change at once and then its progress; as JSON, both
+// together.
+func (a *app) follow(result changeResult, wait time.Duration) error {
+	if !a.JSON {
+		_, err := fmt.Fprintf(a.out, "change %d was accepted by the store at revision %d\n", result.Change.Number, result.Change.Revision)
+		if err != nil {
 			return err
 		}
-		if progress == nil {
-			return nil
+	}
+	pending := a.await(&result, wait)
+	if a.JSON {
+		if err := a.print(result, nil); err != nil {
+			return err
 		}
-		_, err := fmt.Fprintf(w, "in force on %d of %d VMs\n", progress.InForce, progress.Total)
-		return err
-	})
-	if err == nil && progress != nil && !progress.Accepted {
-		return errors.Errorf("the change is stored but not yet in force everywhere; waiting for %v; see 'mangomast status'", progress.Waiting)
 	}
-	return err
+	return pending
 }
 
-// follow asks for the progress of a revision until it is accepted.
-func (a *app) follow(revision int64, wait time.Duration) (*operator.Progress, error) {
+// await waits until the change is in force and prints how far it is.
+func (a *app) await(result *changeResult, wait time.Duration) error {
 	if wait == 0 {
-		return nil, nil
+		return nil
+	}
+	progress, err := a.poll(result.Change.Revision, wait)
+	if err != nil {
+		return &pendingError{fmt.Sprintf("the change is stored, but it is not known how far it is in force: %v; 'mangomast progress %d' asks again", err, result.Change.Revision)}
+	}
+	result.Progress = progress
+	return a.reportProgress(progress)
+}
+
+// reportProgress prints how far a revision is in force. It returns a
+// *pendingError if that is not everywhere.
+func (a *app) reportProgress(progress *operator.Progress) error {
+	if !a.JSON {
+		if _, err := fmt.Fprintf(a.out, "in force on %d of %d VMs\n", progress.InForce, progress.Total); err != nil {
+			return err
+		}
+	}
+	if progress.Accepted {
+		return nil
 	}
+	return &pendingError{fmt.Sprintf("revision %d is stored but not yet in force everywhere; waiting for: %s; 'mangomast progress %d' waits on",
+		progress.Revision, strings.Join(progress.Waiting, ", "), progress.Revision)}
+}
+
+// poll asks for the progress of a revision until it is accepted. It returns
+// the last answer, or an error if there was none.
+func (a *app) poll(revision int64, wait time.Duration) (*operator.Progress, error) {
 	deadline := time.Now().Add(wait)
+	var last *operator.Progress
 	for {
 		progress, err := a.client().Progress(a.ctx, revision)
-		if err == nil && progress.Accepted || time.Now().After(deadline) {
-			return progress, err
+		if err == nil {
+			last = progress
+		}
+		if last != nil && (last.Accepted || time.Now().After(deadline)) {
+			return last, nil
+		}
+		if time.Now().After(deadline) {
+			return nil, err
 		}
 		select {
 		case <-a.ctx.Done():
-			return progress, a.ctx.Err()
+			return nil, a.ctx.Err()
 		case <-time.After(progressPoll):
 		}
 	}
 }
 
+type progressCommand struct {
+	app *app
+	waitOptions
+	Args struct {
+		Revision int64 `positional-arg-name:"REVISION" description:"of an accepted change"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *progressCommand) Execute([]string) error {
+	progress, err := c.app.poll(c.Args.Revision, c.Wait)
+	if err != nil {
+		return err
+	}
+	if c.app.JSON {
+		if err := c.app.print(progress, nil); err != nil {
+			return err
+		}
+	}
+	return c.app.reportProgress(progress)
+}
+
+// preview prints the difference that edits make, if the document allows them.
+func (a *app) preview(edits []edit.Edit) error {
+	answer, err := a.client().Document(a.ctx)
+	if err != nil {
+		return err
+	}
+	if _, err := edit.Apply(answer.Document, edits); err != nil {
+		return explain(err)
+	}
+	return a.print(edits, func(w io.Writer) error {
+		table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		printEdits(table, edits)
+		_, _ = fmt.Fprintln(table, "nothing was changed (--dry-run)")
+		return table.Flush()
+	})
+}
+
+func printEdits(w io.Writer, edits []edit.Edit) {
+	for _, e := range edits {
+		_, _ = fmt.Fprintf(w, "\t%s\t%s\t-> %s\n", e.Field, orAbsent(e.Old), orAbsent(e.New))
+	}
+}
+
 func readDocument(file string) (*config.Document, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -99,7 +205,8 @@
 
 type applyCommand struct {
 	app *app
-	waitOptions
+	noteOptions
+	changeOptions
 	Args struct {
 		File string `positional-arg-name:"FILE"`
 	} `positional-args:"yes" required:"yes"`
@@ -110,26 +217,31 @@
 func (c *applyCommand) Execute([]string) error {
 	doc, err := readDocument(c.Args.File)
 	if err != nil {
-		return findingsOf(err)
+		return explain(err)
 	}
 	edits, err := c.app.client().Merge(c.app.ctx, doc)
 	if err != nil {
 		return err
 	}
 	if len(edits) == 0 {
-		_, err := fmt.Fprintln(c.app.out, "the document is in force already; nothing to change")
-		return err
+		return c.app.changed(nil, edit.ErrUnchanged, 0)
 	}
-	change, err := c.app.client().Change(c.app.ctx, c.Note, edits)
-	if err != nil {
-		return findingsOf(err)
+	return c.app.change(c.Note, edits, c.changeOptions)
+}
+
+// change makes edits, or shows them only.
+func (a *app) change(note string, edits []edit.Edit, opts changeOptions) error {
+	if opts.DryRun {
+		return a.preview(edits)
 	}
-	return c.app.changed(change, c.Wait)
+	change, err := a.client().Change(a.ctx, note, edits)
+	return a.changed(change, err, opts.Wait)
 }
 
 type editCommand struct {
 	app *app
-	waitOptions
+	noteOptions
+	changeOptions
 	Old  string `long:"old" value-name:"JSON" description:"the value that you saw; the change is refused if the field has another one"`
 	Args struct {
 		Field string `positional-arg-name:"FIELD" description:"such as /organisations/beach/rate"`
@@ -149,11 +261,7 @@
 			return err
 		}
 	}
-	change, err := c.app.client().Change(c.app.ctx, c.Note, []edit.Edit{e})
-	if err != nil {
-		return findingsOf(err)
-	}
-	return c.app.changed(change, c.Wait)
+	return c.app.change(c.Note, []edit.Edit{e}, c.changeOptions)
 }
 
 // jsonValue reads a command-line value: JSON, or else plain text.
@@ -202,9 +310,7 @@
 		table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		for _, change := range changes {
 			_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", change.Number, change.Time.Format(time.DateTime), change.Author, change.Note)
-			for _, e := range change.Edits {
-				_, _ = fmt.Fprintf(table, "\t%s\t%s\t-> %s\n", e.Field, orAbsent(e.Old), orAbsent(e.New))
-			}
+			printEdits(table, change.Edits)
 		}
 		return table.Flush()
 	})
@@ -218,8 +324,8 @@
 }
 
 type undoCommand struct {
-	app  *app
-	Wait time.Duration `long:"wait" default:"10s" description:"how long to wait until the change is in force; 0 not to wait"`
+	app *app
+	changeOptions
 	Args struct {
 		Number uint64 `positional-arg-name:"NUMBER" description:"of the change in the history"`
 	} `positional-args:"yes" required:"yes"`
@@ -227,9 +333,22 @@
 
 // Execute implements flags.Commander.
 func (c *undoCommand) Execute([]string) error {
+	if c.DryRun {
+		return c.preview()
+	}
 	change, err := c.app.client().Undo(c.app.ctx, c.Args.Number)
+	return c.app.changed(change, err, c.Wait)
+}
+
+func (c *undoCommand) preview() error {
+	changes, err := c.app.client().History(c.app.ctx)
 	if err != nil {
 		return err
 	}
-	return c.app.changed(change, c.Wait)
+	for _, change := range changes {
+		if change.Number == c.Args.Number {
+			return c.app.preview(edit.Invert(change.Edits))
+		}
+	}
+	return errors.Errorf("change %d is not in the history", c.Args.Number)
 }
--- a/cmd/mangomast/fleet.go
+++ b/cmd/mangomast/fleet.go
@@ -4,7 +4,8 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
-	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/mangomast/mangomast/operator"
 )
@@ -33,6 +34,7 @@
 
 type keyGrantCommand struct {
 	app *app
+	noteOptions
 	waitOptions
 	Args struct {
 		Organisation string `positional-arg-name:"ORGANISATION"`
@@ -44,21 +46,24 @@
 func (c *keyGrantCommand) Execute([]string) error {
 	request := operator.KeyRequest{ID: c.Args.ID, Organisation: c.Args.Organisation, Note: c.Note}
 	answer, err := c.app.client().GrantKey(c.app.ctx, request)
-	if err != nil {
-		return findingsOf(err)
-	}
-	if c.app.JSON {
-		return c.app.print(answer, nil)
+	var unknown *operator.OutcomeUnknownError
+	switch {
+	case errors.As(err, &unknown):
+		return errors.WithMessagef(err, "if 'mangomast show' lists %s, its key is %s", c.Args.ID, answer.Key)
+	case err != nil:
+		return explain(err)
 	}
-	if _, err := fmt.Fprintf(c.app.out, "key %s of %s, shown this once: %s\n", c.Args.ID, c.Args.Organisation, answer.Key); err != nil {
-		return err
+	if !c.app.JSON {
+		if _, err := fmt.Fprintf(c.app.out, "key %s of %s, shown this once: %s\n", c.Args.ID, c.Args.Organisation, answer.Key); err != nil {
+			return err
+		}
 	}
-	return c.app.changed(&answer.Change, c.Wait)
+	return c.app.follow(changeResult{Key: answer.Key, Change: &answer.Change}, c.Wait)
 }
 
 type keyWithdrawCommand struct {
-	app  *app
-	Wait time.Duration `long:"wait" default:"10s" description:"how long to wait until no VM serves the key; 0 not to wait"`
+	app *app
+	waitOptions
 	Args struct {
 		ID string `positional-arg-name:"KEY-ID"`
 	} `positional-args:"yes" required:"yes"`
@@ -67,10 +72,7 @@
 // Execute implements flags.Commander.
 func (c *keyWithdrawCommand) Execute([]string) error {
 	change, err := c.app.client().WithdrawKey(c.app.ctx, c.Args.ID)
-	if err != nil {
-		return err
-	}
-	return c.app.changed(change, c.Wait)
+	return c.app.changed(change, err, c.Wait)
 }
 
 type operatorNewCommand struct{ app *app }
--- a/cmd/mangomast/main.go
+++ b/cmd/mangomast/main.go
@@ -23,11 +23,24 @@
 	exitRefused  = 1
 	exitUsage    = 2
 	exitConflict = 3
+	// exitPending: the change is made, but not known to be in force everywhere.
+	exitPending = 4
+	// exitUnknown: the change may or may not have been made.
+	exitUnknown = 5
 )
 
+// pendingError means that a change is kept by the store, but is not known to be
+// in force on every VM.
+type pendingError struct {
+	reason string
+}
+
+// Error implements error.
+func (e *pendingError) Error() string { return e.reason }
+
 // globalOptions are the options of every command.
 type globalOptions struct {
-	Node  string `long:"node" env:"MANGOMAST_NODE" default:"http://127.0.0.1:8083" value-name:"URL" description:"admin address of any node"`
+	Node  string `long:"node" env:"MANGOMAST_NODE" default:"http://127.0.0.1:8083" value-name:"URL" description:"admin address of any node; others after commas, tried if it does not answer"`
 	Token string `long:"token" env:"MANGOMAST_TOKEN" description:"operator's token"`
 	JSON  bool   `long:"json" description:"print JSON"`
 }
@@ -77,11 +90,17 @@
 func exitCode(err error) int {
 	var usage *flags.Error
 	var conflict *edit.ConflictError
+	var pending *pendingError
+	var unknown *operator.OutcomeUnknownError
 	switch {
 	case errors.As(err, &usage):
 		return exitUsage
 	case errors.As(err, &conflict):
 		return exitConflict
+	case errors.As(err, &pending):
+		return exitPending
+	case errors.As(err, &unknown):
+		return exitUnknown
 	}
 	return exitRefused
 }
@@ -98,6 +117,7 @@
 	add(parser.Command, "show", "Print the document", &showCommand{app: a})
 	add(parser.Command, "history", "List past changes, newest first", &historyCommand{app: a})
 	add(parser.Command, "undo", "Take a past change back, as a new change", &undoCommand{app: a})
+	add(parser.Command, "progress", "Wait until a revision is in force", &progressCommand{app: a})
 	add(parser.Command, "status", "Show which revision each VM has", &statusCommand{app: a})
 	key := add(parser.Command, "key", "Grant and withdraw callers' keys", &struct{}{})
 	add(key, "grant", "Make a key for an organisation and show it once", &keyGrantCommand{app: a})
@@ -118,11 +138,15 @@
 	return added
 }
 
-// findingsOf prefixes findings with a line that says what to do.
-func findingsOf(err error) error {
+// explain prefixes findings and conflicts with a line that says what to do.
+func explain(err error) error {
 	var invalid *finding.Error
-	if errors.As(err, &invalid) {
+	var conflict *edit.ConflictError
+	switch {
+	case errors.As(err, &invalid):
 		return errors.WithMessage(err, "nothing was changed; mend these and try again:\n")
+	case errors.As(err, &conflict):
+		return errors.WithMessage(err, "nothing was changed; look at 'mangomast history', then decide again:\n")
 	}
 	return err
 }
--- a/cmd/mangomast/main_test.go
+++ b/cmd/mangomast/main_test.go
@@ -5,8 +5,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -117,3 +120,56 @@
 	assert.Assert(t, strings.Contains(c.must("key", "withdraw", "spare"), "in force"))
 	assert.Assert(t, !strings.Contains(c.must("show"), "spare"))
 }
+
+func TestACommandSaysWhatCameOfAChange(t *testing.T) {
+	c := startFleet(t)
+	const rate = "/organisations/beach-riders/rate"
+	out := c.must("edit", rate, "88", "--dry-run")
+	assert.Assert(t, strings.Contains(out, "200") && strings.Contains(out, "-> 88"), out)
+	assert.Assert(t, strings.Contains(c.must("edit", rate, "200"), "nothing to change"))
+	assert.Assert(t, !strings.Contains(c.must("history"), rate))
+
+	// The first node is gone; the second takes the change.
+	spare := &commandLine{t: t, node: "http://127.0.0.1:1," + c.node, token: c.token}
+	var result changeResult
+	assert.NilError(t, json.Unmarshal([]byte(spare.must("--json", "edit", rate, "88")), &result))
+	assert.Assert(t, result.Progress.Accepted)
+	assert.Assert(t, strings.Contains(c.must("undo", "--dry-run", "2"), "-> 200"))
+	assert.Assert(t, strings.Contains(c.must("progress", strconv.FormatInt(result.Change.Revision, 10)), "in force on 4 of 4"))
+	code, out := c.run("progress", "--wait", "300ms", "999999")
+	assert.Equal(t, code, exitPending, out)
+
+	c.must("key", "grant", "beach-riders", "spare")
+	code, out = c.run("key", "grant", "beach-riders", "spare")
+	assert.Equal(t, code, exitConflict)
+	assert.Assert(t, strings.Contains(out, "exists already") && strings.Contains(out, "night-shift"), out)
+}
+
+func TestAnAnswerThatIsLostIsNoRefusal(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		status int
+		code   int
+	}{
+		{"broken off", 0, exitUnknown},
+		{"not known", http.StatusGatewayTimeout, exitUnknown},
+		{"unavailable", http.StatusServiceUnavailable, exitRefused},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if test.status == 0 {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(test.status)
+				_ = json.NewEncoder(w).Encode(operator.Problem{Message: "the store did not answer"})
+			}))
+			defer server.Close()
+			c := &commandLine{t: t, node: server.URL}
+			code, out := c.run("undo", "3")
+			assert.Equal(t, code, test.code, out)
+			code, out = c.run("key", "grant", "beach-riders", "spare")
+			assert.Equal(t, code, test.code, out)
+			assert.Equal(t, strings.Contains(out, "its key is mm_"), test.code == exitUnknown, out)
+		})
+	}
+}
--- a/edit/editor.go
+++ b/edit/editor.go
@@ -181,7 +181,7 @@
 // attempt writes the proposal on top of the current document, unless it is
 // part of it already.
 func (e *Editor) attempt(ctx context.Context, current *Current, p Proposal) (*Change, error) {
-	done, err := e.find(ctx, p.ID, current)
+	done, err := e.Made(ctx, p.ID, current)
 	if done != nil || err != nil {
 		return done, err
 	}
@@ -269,9 +269,13 @@
 	return fmt.Sprintf("%s%s%020d", e.prefix, HistoryPrefix, number)
 }
 
-// find returns the change with the ID if the current document holds it.
-func (e *Editor) find(ctx context.Context, id string, current *Current) (*Change, error) {
+// Made returns the change with the ID if it is among the latest of the current
+// document, and nil if not.
+func (e *Editor) Made(ctx context.Context, id string, current *Current) (*Change, error) {
 	last := current.Document.Change
+	if id == "" {
+		return nil, nil
+	}
 	index := slices.Index(append([]string{last.ID}, last.Recent...), id)
 	if index < 0 {
 		return nil, nil
--- a/operator/client.go
+++ b/operator/client.go
@@ -5,8 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,18 +23,24 @@
 
 const clientTimeout = 15 * time.Second
 
-// Client calls the API of one node. It is safe for concurrent use. Refusals
-// are returned as *finding.Error, *edit.ConflictError or plain errors.
+// Client calls the API of one node, and of others if that one does not answer.
+// It is safe for concurrent use. Refusals are returned as *finding.Error,
+// *edit.ConflictError, edit.ErrUnchanged, *OutcomeUnknownError or plain errors.
 type Client struct {
-	base  string
+	bases []string
 	token string
 	http  *http.Client
 }
 
 // NewClient returns a client for a node's admin address, such as
-// http://127.0.0.1:8083.
-func NewClient(base, token string) *Client {
-	return &Client{base: base, token: token, http: &http.Client{Timeout: clientTimeout}}
+// http://127.0.0.1:8083, or for several with commas between. They are tried in
+// turn: each change has an ID, so that it is made once whichever nodes got it.
+func NewClient(nodes, token string) *Client {
+	c := &Client{token: token, http: &http.Client{Timeout: clientTimeout}}
+	for node := range strings.SplitSeq(nodes, ",") {
+		c.bases = append(c.bases, strings.TrimRight(strings.TrimSpace(node), "/"))
+	}
+	return c
 }
 
 // Status is a node's view of the fleet.
@@ -73,7 +82,7 @@
 // Undo takes a past change back.
 func (c *Client) Undo(ctx context.Context, number uint64) (*edit.Change, error) {
 	change := &edit.Change{}
-	return change, c.call(ctx, http.MethodPost, PathUndo, UndoRequest{Number: number}, change)
+	return change, c.call(ctx, http.MethodPost, PathUndo, UndoRequest{ID: uuid.NewString(), Number: number}, change)
 }
 
 // History returns the past changes, newest first.
@@ -82,16 +91,25 @@
 	return changes, c.call(ctx, http.MethodGet, PathHistory, nil, &changes)
 }
 
-// GrantKey makes a key for an organisation.
+// GrantKey makes a key for an organisation. The key is made here and only its
+// hash is sent. If the outcome is unknown the answer has the key as well, in
+// case that it was granted.
 func (c *Client) GrantKey(ctx context.Context, request KeyRequest) (*KeyAnswer, error) {
-	answer := &KeyAnswer{}
-	return answer, c.call(ctx, http.MethodPost, PathKeys, request, answer)
+	answer := &KeyAnswer{Key: config.NewKey()}
+	added, err := request.edit(answer.Key)
+	if err != nil {
+		return answer, err
+	}
+	change, err := c.Change(ctx, request.note(), []edit.Edit{added})
+	answer.Change = *change
+	return answer, err
 }
 
 // WithdrawKey removes a key.
 func (c *Client) WithdrawKey(ctx context.Context, id string) (*edit.Change, error) {
 	change := &edit.Change{}
-	return change, c.call(ctx, http.MethodDelete, PathKeys+"/"+id, nil, change)
+	path := PathKeys + "/" + url.PathEscape(id) + "?" + url.Values{ParamChange: {uuid.NewString()}}.Encode()
+	return change, c.call(ctx, http.MethodDelete, path, nil, change)
 }
 
 // Progress says how far a revision has come into force.
@@ -112,16 +130,48 @@
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(data))
+	changes := method != http.MethodGet && path != PathMerge
+	sent := false
+	for _, base := range c.bases {
+		var resp *http.Response
+		if resp, err = c.send(ctx, method, base+path, data); err != nil {
+			sent = sent || !neverSent(err)
+			continue
+		}
+		unavailable := resp.StatusCode == http.StatusServiceUnavailable
+		if err = decodeAnswer(resp, answer); sent && changes && unavailable {
+			return &OutcomeUnknownError{Message: err.Error()}
+		}
+		return err
+	}
+	err = errors.Wrapf(err, "no answer from the node at %s; give another with --node", strings.Join(c.bases, ", "))
+	if sent && changes {
+		return &OutcomeUnknownError{Message: err.Error()}
+	}
+	return err
+}
+
+func (c *Client) send(ctx context.Context, method, target string, data []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(data))
 	if err != nil {
-		return errors.Wrap(err, "build request")
+		return nil, errors.Wrap(err, "build request")
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+c.token)
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return errors.Wrapf(err, "no answer from the node at %s; give another with --node", c.base)
+	return c.http.Do(req)
+}
+
+// neverSent reports whether no connection was made.
+func neverSent(err error) bool {
+	var op *net.OpError
+	var target *url.Error
+	if !errors.As(err, &target) {
+		return true
 	}
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func decodeAnswer(resp *http.Response, answer any) error {
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return problemOf(resp)
@@ -139,6 +189,10 @@
 		return &edit.ConflictError{Conflicts: problem.Conflicts}
 	case len(problem.Findings) > 0:
 		return &finding.Error{Findings: problem.Findings}
+	case problem.Unchanged:
+		return edit.ErrUnchanged
+	case resp.StatusCode == http.StatusGatewayTimeout:
+		return &OutcomeUnknownError{Message: problem.Message}
 	}
 	return errors.New(problem.Message)
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -60,19 +60,6 @@
 	Number uint64 `json:"number"`
 }
 
-// KeyRequest asks for a new key by POST to PathKeys.
-type KeyRequest struct {
-	ID           string `json:"id"`
-	Organisation string `json:"organisation"`
-	Note         string `json:"note,omitempty"`
-}
-
-// KeyAnswer shows a new key, this once only.
-type KeyAnswer struct {
-	Key    string      `json:"key"`
-	Change edit.Change `json:"change"`
-}
-
 // Progress says how far a revision has come into force.
 type Progress struct {
 	Revision int64 `json:"revision"`
@@ -90,6 +77,18 @@
 	Message   string            `json:"message"`
 	Findings  []finding.Finding `json:"findings,omitempty"`
 	Conflicts []edit.Conflict   `json:"conflicts,omitempty"`
+	// Unchanged is true if the document is already as it was asked for.
+	Unchanged bool `json:"unchanged,omitempty"`
+}
+
+// OutcomeUnknownError means that a change may or may not have been made.
+type OutcomeUnknownError struct {
+	Message string
+}
+
+// Error implements error.
+func (e *OutcomeUnknownError) Error() string {
+	return e.Message + "; the change may or may not have been made: look at 'mangomast history'"
 }
 
 // NewToken returns an operator's token and the hash under which it is kept.
--- a/plugin/operator/api.go
+++ b/plugin/operator/api.go
@@ -65,6 +65,8 @@
 		status, problem.Conflicts = http.StatusConflict, conflict.Conflicts
 	case errors.As(err, &invalid):
 		status, problem.Findings = http.StatusUnprocessableEntity, invalid.Findings
+	case errors.Is(err, edit.ErrUnchanged):
+		status, problem.Unchanged = http.StatusConflict, true
 	case errors.Is(err, store.ErrUnavailable):
 		status, problem.Message = http.StatusServiceUnavailable, "the store is unavailable; nothing was changed: "+err.Error()
 	case errors.Is(err, store.ErrOutcomeUnknown):
@@ -150,13 +152,16 @@
 	ctx, cancel := storeContext(c)
 	defer cancel()
 	answer, err := m.service.GrantKey(ctx, author(c), request)
+	if err == nil {
+		m.logChange(&answer.Change, nil)
+	}
 	return m.answer(c, answer, err)
 }
 
 func (m *Module) serveWithdrawKey(c echo.Context) error {
 	ctx, cancel := storeContext(c)
 	defer cancel()
-	change, err := m.service.WithdrawKey(ctx, author(c), c.Param("id"))
+	change, err := m.service.WithdrawKey(ctx, author(c), c.Param("id"), c.QueryParam(operator.ParamChange))
 	m.logChange(change, err)
 	return m.answer(c, change, err)
 }
--- a/plugin/operator/service.go
+++ b/plugin/operator/service.go
@@ -80,21 +80,20 @@
 // GrantKey makes a key and returns it with the change that added its hash.
 func (s *Service) GrantKey(ctx context.Context, author string, r operator.KeyRequest) (*operator.KeyAnswer, error) {
 	secret := config.NewKey()
-	added, err := edit.NewElement("keys", r.ID, config.Key{
-		ID: r.ID, Organisation: r.Organisation, Hash: config.HashKey(secret), Note: r.Note,
-	})
+	proposal, err := r.Proposal(author, secret)
 	if err != nil {
 		return nil, err
 	}
-	change, err := s.Editor.Commit(ctx, edit.Proposal{Author: author, Note: "grant key " + r.ID, Edits: []edit.Edit{added}})
+	change, err := s.Editor.Commit(ctx, proposal)
 	if err != nil {
 		return nil, err
 	}
 	return &operator.KeyAnswer{Key: secret, Change: *change}, nil
 }
 
-// WithdrawKey removes a key.
-func (s *Service) WithdrawKey(ctx context.Context, author, id string) (*edit.Change, error) {
+// WithdrawKey removes a key. The change ID, if not empty, makes the call safe to
+// send twice.
+func (s *Service) WithdrawKey(ctx context.Context, author, id, changeID string) (*edit.Change, error) {
 	current, err := s.Editor.Read(ctx)
 	if err != nil {
 		return nil, err
@@ -105,8 +104,12 @@
 		return nil, err
 	}
 	if old == nil {
+		if done, err := s.Editor.Made(ctx, changeID, current); done != nil || err != nil {
+			return done, err
+		}
 		return nil, errors.Errorf("there is no key %q; 'mangomast show' lists the keys", id)
 	}
 	removal := edit.Edit{Field: field, Old: old}
-	return s.Editor.Commit(ctx, edit.Proposal{Author: author, Note: "withdraw key " + id, Edits: []edit.Edit{removal}})
+	proposal := edit.Proposal{ID: changeID, Author: author, Note: "withdraw key " + id, Edits: []edit.Edit{removal}}
+	return s.Editor.Commit(ctx, proposal)
 }
