--- a/config/document.go
+++ b/config/document.go
@@ -39,6 +39,7 @@
 
 // Operator may change the configuration.
 type Operator struct {
+	// ID names the operator in the history.
 	ID string `json:"id"`
 	// Hash is the SHA-256 of the operator's token in hexadecimal.
 	Hash string `json:"hash"`
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -67,6 +67,7 @@
 
 // Advertise holds the addresses of a node as others reach it.
 type Advertise struct {
+	// Callers, Mesh and Admin are IP:port; those of Listen if empty.
 	Callers string `json:"callers"`
 	Mesh    string `json:"mesh"`
 	Admin   string `json:"admin"`
