Show a VM that does not acknowledge, and read better on the command line

On the command line, going through it against the demo: advice ran into ": /routes/..."; the table of status had the stream's revisions beside the document's without a word; a history with one long value was wider than any screen; an undo of an unknown change was "no longer kept"; bounds read 1e+07. Seen and left: if the VM is frozen right after the fleet's start, before its first witness table is in force on every VM, no change comes into force while it is frozen (15 s watched: "a majority of the failure domains; failure domain domain-3, unheard").

--- a/cmd/mangomast/document.go
+++ b/cmd/mangomast/document.go
@@ -6,7 +6,6 @@
 	"io"
 	"os"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
@@ -162,16 +161,15 @@
 		return explain(err)
 	}
 	return a.print(edits, func(w io.Writer) error {
-		table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-		printEdits(table, edits)
-		_, _ = fmt.Fprintln(table, "nothing was changed (--dry-run)")
-		return table.Flush()
+		printEdits(w, edits)
+		_, err := fmt.Fprintln(w, "nothing was changed (--dry-run)")
+		return err
 	})
 }
 
 func printEdits(w io.Writer, edits []edit.Edit) {
 	for _, e := range edits {
-		_, _ = fmt.Fprintf(w, "\t%s\t%s\t-> %s\n", e.Field, orAbsent(e.Old), orAbsent(e.New))
+		_, _ = fmt.Fprintf(w, "   %s  %s -> %s\n", e.Field, orAbsent(e.Old), orAbsent(e.New))
 	}
 }
 
@@ -307,12 +305,11 @@
 	}
 	changes = changes[:min(len(changes), c.Last)]
 	return c.app.print(changes, func(w io.Writer) error {
-		table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		for _, change := range changes {
-			_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", change.Number, change.Time.Format(time.DateTime), change.Author, change.Note)
-			printEdits(table, change.Edits)
+			_, _ = fmt.Fprintf(w, "%d  %s UTC  %s  %s\n", change.Number, change.Time.Format(time.DateTime), change.Author, change.Note)
+			printEdits(w, change.Edits)
 		}
-		return table.Flush()
+		return nil
 	})
 }
 
--- a/cmd/mangomast/fleet.go
+++ b/cmd/mangomast/fleet.go
@@ -20,14 +20,15 @@
 	}
 	return c.app.print(status, func(w io.Writer) error {
 		table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-		_, _ = fmt.Fprintf(table, "VM\tregion\tfailure domain\tservice\tstate\trevision\n")
+		_, _ = fmt.Fprintf(table, "VM\tregion\tfailure domain\tservice\tstate\tstream revision\n")
 		for _, m := range status.Members {
 			_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\n", m.VM, m.Region, m.FailureDomain, m.Service, m.State, m.ConfigRevision)
 		}
 		if err := table.Flush(); err != nil {
 			return err
 		}
-		_, err := fmt.Fprintf(w, "%d VMs; seen by %s, which has revision %d, fresh: %t\n", len(status.Members), status.VM, status.Revision, status.Fresh)
+		_, err := fmt.Fprintf(w, "%d VMs; seen by %s, which has the document of revision %d and the stream up to %d, known to be in force everywhere up to %d; fresh: %t\n",
+			len(status.Members), status.VM, status.Revision, status.Stream, status.Accepted, status.Fresh)
 		return err
 	})
 }
--- a/cmd/mangomast/main.go
+++ b/cmd/mangomast/main.go
@@ -138,15 +138,27 @@
 	return added
 }
 
+// explainedError is an error below a line that says what to do.
+type explainedError struct {
+	advice string
+	err    error
+}
+
+// Error implements error.
+func (e *explainedError) Error() string { return e.advice + "\n" + e.err.Error() }
+
+// Unwrap returns the error that is explained.
+func (e *explainedError) Unwrap() error { return e.err }
+
 // explain prefixes findings and conflicts with a line that says what to do.
 func explain(err error) error {
 	var invalid *finding.Error
 	var conflict *edit.ConflictError
 	switch {
 	case errors.As(err, &invalid):
-		return errors.WithMessage(err, "nothing was changed; mend these and try again:\n")
+		return &explainedError{"nothing was changed; mend these and try again:", err}
 	case errors.As(err, &conflict):
-		return errors.WithMessage(err, "nothing was changed; look at 'mangomast history', then decide again:\n")
+		return &explainedError{"nothing was changed; look at 'mangomast history', then decide again:", err}
 	}
 	return err
 }
--- a/config/validate.go
+++ b/config/validate.go
@@ -60,13 +60,13 @@
 			v.findings.Addf(at+"/id", "%q is reserved", Everyone)
 		}
 		if !(org.Weight > 0) || org.Weight > MaxRate {
-			v.findings.Addf(at+"/weight", "must be above 0 and at most %g", MaxRate)
+			v.findings.Addf(at+"/weight", "must be above 0 and at most %.0f", MaxRate)
 		}
 		if !(org.Rate >= 0) || org.Rate > MaxRate {
-			v.findings.Addf(at+"/rate", "must be 0 to %g requests a second", MaxRate)
+			v.findings.Addf(at+"/rate", "must be 0 to %.0f requests a second", MaxRate)
 		}
 		if !(org.Burst >= 1) || org.Burst > MaxRate {
-			v.findings.Addf(at+"/burst", "must be 1 to %g requests", MaxRate)
+			v.findings.Addf(at+"/burst", "must be 1 to %.0f requests", MaxRate)
 		}
 		if org.ServeWhenCutOff < 0 {
 			v.findings.Addf(at+"/serve_when_cut_off", "must not be negative")
--- a/edit/editor.go
+++ b/edit/editor.go
@@ -289,7 +289,7 @@
 		return nil, unanswered(err)
 	}
 	if len(listing.Records) == 0 {
-		return nil, errors.Errorf("change %d is no longer kept", number)
+		return nil, errors.Errorf("change %d is not in the history, which has the last %d changes", number, HistoryLength)
 	}
 	return decodeChange(listing.Records[0])
 }
