Race two operators on one field through the consoles of two nodes

Cause: the config case has four operators that race through the store's editor; no run had two consoles. Change: after the main run two operators sign in at two nodes, open the same form, and send different values at the same moment, 20 times; each time exactly one must be taken and in force, and the other be shown the conflict.

--- a/internal/bench/config.go
+++ b/internal/bench/config.go
@@ -18,6 +18,7 @@
 	"github.com/mangomast/mangomast/edit"
 	"github.com/mangomast/mangomast/internal/rig"
 	"github.com/mangomast/mangomast/internal/standin"
+	"github.com/mangomast/mangomast/operator"
 	"github.com/mangomast/mangomast/store/etcd"
 )
 
@@ -58,11 +59,16 @@
 	AcceptedMaxMs int64 `json:"accepted_max_ms"`
 	Lost          int   `json:"lost"`
 	Linearizable  bool  `json:"linearizable"`
+	// ConsoleRaces are those of two operators at two nodes' consoles;
+	// ConsoleDecided those in which one change was taken and the other operator
+	// was shown the conflict.
+	ConsoleRaces   int `json:"console_races"`
+	ConsoleDecided int `json:"console_decided"`
 }
 
 func (f *configFigures) holds() bool {
 	return f.Committed > 0 && f.Committed+f.Conflicts == operators*changesPerOperator && f.Late == 0 && f.Reverts == 0 &&
-		f.Lost == 0 && f.Linearizable && f.InForceMaxMs <= maxInForce.Milliseconds()
+		f.Lost == 0 && f.Linearizable && f.ConsoleRaces > 0 && f.ConsoleDecided == f.ConsoleRaces && f.InForceMaxMs <= maxInForce.Milliseconds()
 }
 
 // committed is a change that an operator was told of.
@@ -97,6 +103,8 @@
 func runConfig(ctx context.Context, env *Env) (*Report, error) {
 	doc := &config.Document{}
 	NewOrganisations(doc, contendedFields, 100, 100)
+	token, hash := operator.NewToken()
+	doc.Operators = []config.Operator{{ID: "night-shift", Hash: hash}}
 	AddService(doc, "fares", nil)
 	nodes := Spread("fares", 16, 10, standin.Behaviour{})
 	AddDomains(doc, nodes)
@@ -111,8 +119,13 @@
 	if err != nil {
 		return nil, err
 	}
+	figures.ConsoleRaces = consoleRaces
+	if figures.ConsoleDecided, err = raceConsoles(ctx, fleet, token); err != nil {
+		return nil, err
+	}
 	return &Report{Holds: figures.holds(), Figures: figures, Header: []string{"what", "figure"}, Rows: [][]string{
 		{"changes committed, conflicts shown", fmt.Sprintf("%d, %d", figures.Committed, figures.Conflicts)},
+		{"races at two consoles, one taken and one shown the conflict", fmt.Sprintf("%d, %d", figures.ConsoleRaces, figures.ConsoleDecided)},
 		{"VMs killed", fmt.Sprint(figures.Kills)},
 		{"lost; reverts; served late", fmt.Sprintf("%d; %d; %d", figures.Lost, figures.Reverts, figures.Late)},
 		{"history linearizable", fmt.Sprint(figures.Linearizable)},
@@ -251,7 +264,9 @@
 	return nil
 }
 
-// fieldModel is a register for each field, changed by compare-and-swap.
+// fieldModel is a register for each field, changed by compare-and-swap. A
+// conflict is possible only while the field has another value than the operator
+// read; as each operator writes values of its own, it was changed since.
 func fieldModel() porcupine.Model {
 	return porcupine.Model{
 		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
