--- a/plugin/console/faults_test.go
+++ b/plugin/console/faults_test.go
@@ -247,7 +247,7 @@
 func TestPagesWorkWithTheKeyboard(t *testing.T) {
 	t.Parallel()
 	_, b, _ := startNode(t)
-	pages := []string{"/", "/history", "/part/organisations/edit/beach-riders"}
+	pages := []string{"/", "/history", "/quarantine", "/part/organisations/edit/beach-riders"}
 	for _, part := range []string{"organisations", "keys", "routes", "services", "failure_domains", "operators"} {
 		pages = append(pages, "/part/"+part, "/part/"+part+"/new")
 	}
