--- a/plugin/membership/report.go
+++ b/plugin/membership/report.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -237,11 +238,7 @@
 	for _, entry := range answer.Relays {
 		answer.Records = append(answer.Records, membership.Record{Entry: entry})
 	}
-	before := m.table.Sequence()
-	for _, record := range answer.Records {
-		m.table.Learn(record, m.trusts(relay, answer, record.Entry), now)
-	}
-	if c.vm == "" && m.table.Sequence() != before {
+	if learned := m.learn(relay, answer, now); learned && c.vm == "" {
 		// The next seed may know more.
 		m.seedDue = now
 	}
@@ -267,14 +264,30 @@
 		m.behind = false
 	}
 	for _, name := range c.request.Services {
-		if s := m.services[name]; s != nil && !s.done {
-			s.done = true
-			m.whole = maps.Clone(m.whole)
-			m.whole[name] = true
-			m.publish()
-			close(s.answered)
-		}
+		m.complete(name)
+	}
+}
+
+// learn takes in the records of an answer and reports whether any was new.
+func (m *Module) learn(relay bool, answer *reportAnswer, now time.Time) bool {
+	before := m.table.Sequence()
+	for _, record := range answer.Records {
+		m.table.Learn(record, m.trusts(relay, answer, record.Entry), now)
+	}
+	return m.table.Sequence() != before
+}
+
+// complete notes that all VMs of a service are known.
+func (m *Module) complete(service string) {
+	s := m.services[service]
+	if s == nil || s.done {
+		return
 	}
+	s.done = true
+	m.whole = maps.Clone(m.whole)
+	m.whole[service] = true
+	m.publish()
+	close(s.answered)
 }
 
 // asksFor reports whether the report asks the own failure domain's relays for
