--- a/internal/bench/drain_repeats.go
+++ b/internal/bench/drain_repeats.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -22,6 +23,8 @@
 	repeatsPerStop = 10
 	maxRepeatIDs   = 300
 	repeatService  = "dispatch"
+	// repeatPause is at least the Retry-After of a refusal by the rate.
+	repeatPause = 1 * time.Second
 )
 
 // repeats are requests that are not idempotent and were answered before their
@@ -33,7 +36,10 @@
 	list   []repeat
 	// sent counts the sends after a stop; answered those with the same answer.
 	sent, answered int
-	// lost says what became of the last send that was not.
+	// limited counts those that were sent once more because the rate refused
+	// them, as callers are told to do.
+	limited int
+	// lost says what became of the last send that was not answered.
 	lost string
 }
 
@@ -82,6 +88,11 @@
 func (r *repeats) sendAgain(ctx context.Context, stopped *rig.Node) {
 	for _, repeat := range r.list {
 		resp, err := r.caller(stopped).Send(ctx, repeat.request, repeat.id)
+		if err == nil && resp.Reason == call.CodeRateLimited.String() {
+			r.limited++
+			time.Sleep(repeatPause)
+			resp, err = r.caller(stopped).Send(ctx, repeat.request, repeat.id)
+		}
 		r.sent++
 		if err == nil && resp.Outcome == call.Answered && bytes.Equal(resp.Body, repeat.body) {
 			r.answered++
