--- a/internal/bench/quota.go
+++ b/internal/bench/quota.go
@@ -15,6 +15,7 @@
 func init() {
 	Register(Case{Name: "quota", Help: "rate and burst over all VMs while demand moves and owners, ingress nodes, the store and a region fail", Run: runQuota})
 	Register(Case{Name: "quota-stop", Help: "the same while owners and ingress nodes are stopped as planned", Run: runQuotaStop})
+	Register(Case{Name: "quota-loss", Help: "the same while an ingress, a region and an owner are lost, one at a time", Run: runQuotaLoss})
 }
 
 const (
@@ -109,9 +110,30 @@
 	}
 }
 
+// lossPhases are losses that come one at a time, each after the fleet has
+// recovered from the one before.
+func lossPhases() []quotaPhase {
+	return []quotaPhase{
+		{name: "calm", bounded: true, length: 3 * time.Second},
+		{name: "ingress killed", length: 6 * time.Second, begin: killIngress},
+		{name: "ingress back", length: 3 * time.Second},
+		{name: "region cut", length: 6 * time.Second, begin: cutRegion},
+		{name: "region back", length: 5 * time.Second},
+		{name: "owner killed", length: 9 * time.Second, begin: killOwner},
+		{name: "owner back", length: 2 * time.Second},
+	}
+}
+
+func runQuotaLoss(ctx context.Context, env *Env) (*Report, error) {
+	return runQuotaPhases(ctx, env, lossPhases())
+}
+
 func runQuotaStop(ctx context.Context, env *Env) (*Report, error) {
+	return runQuotaPhases(ctx, env, stopPhases())
+}
+
+func runQuotaPhases(ctx context.Context, env *Env, phases []quotaPhase) (*Report, error) {
 	figures := &quotaFigures{}
-	phases := stopPhases()
 	if err := figures.measure(ctx, env, phases); err != nil {
 		return nil, err
 	}
