Let a node borrow that had no answer of an owner yet

Cause: the owner names lenders on its answers, so a node whose first request of an organisation comes while the owner is lost knows none and refuses everything.

Left: at the full size the VMs that a node knows are seldom holders.

--- a/internal/bench/quota_test.go
+++ b/internal/bench/quota_test.go
@@ -8,8 +8,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/internal/load"
 	"github.com/mangomast/mangomast/internal/rig"
 	"github.com/mangomast/mangomast/internal/standin"
+	quotaplugin "github.com/mangomast/mangomast/plugin/quota"
 )
 
 // TestNodesThatAreNoRelaysServeRates runs more VMs in a failure domain than it
@@ -47,3 +49,35 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, after, before)
 }
+
+// TestHoldersLendWhileTheirOwnerIsLost kills an owner and moves the demand from
+// one VM to another before it is replaced. Without loans the second has no more
+// than what it minted before, a tenth of the rate.
+func TestHoldersLendWhileTheirOwnerIsLost(t *testing.T) {
+	q, err := startQuota(t.Context(), 1, quotaplugin.ModeFleet, nil)
+	assert.NilError(t, err)
+	defer q.fleet.Close()
+	owner, err := q.fleet.Owner(t.Context(), q.keys[0].Organisation)
+	assert.NilError(t, err)
+	var others []*rig.Node
+	for _, node := range q.fleet.Nodes {
+		if node != owner {
+			others = append(others, node)
+		}
+	}
+	serve := func(node *rig.Node, length time.Duration) (served, sent int) {
+		const rate = 50
+		opts := load.Options{Rate: rate, Duration: length, Do: func(context.Context, int) load.Sample {
+			return load.Sample{OK: q.request(node, q.keys[0]) == ""}
+		}}
+		for _, interval := range load.Run(t.Context(), opts).Timeline {
+			served, sent = served+interval.Answered, sent+interval.Sent
+		}
+		return served, sent
+	}
+	serve(others[0], 3*time.Second)
+	owner.Process.Kill()
+	serve(others[0], time.Second)
+	served, sent := serve(others[1], 2*time.Second)
+	assert.Assert(t, 2*served > sent, "%d of %d served", served, sent)
+}
--- a/plugin/quota/lending.go
+++ b/plugin/quota/lending.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
 	"github.com/mangomast/mangomast/quota"
 )
@@ -76,9 +77,27 @@
 // borrow asks other holders for loans if that is due. The caller holds the
 // holding's mutex.
 func (s *holders) borrow(h *holding, now time.Time) {
-	for i, ask := range h.holder.Borrow(now, h.waiting, len(h.lenders)) {
-		go s.askLoan(h, h.lenders[i], ask)
+	if !h.holder.Failing() {
+		return
+	}
+	lenders := h.lenders
+	if len(lenders) == 0 {
+		lenders = s.knownMembers()
+	}
+	for i, ask := range h.holder.Borrow(now, h.waiting, len(lenders)) {
+		go s.askLoan(h, lenders[i], ask)
+	}
+}
+
+// knownMembers returns some VMs that this node knows, for a holder that had no
+// answer yet which names lenders.
+func (s *holders) knownMembers() (lenders []lender) {
+	for _, entry := range s.members.View().All() {
+		if entry.VM != s.mesh.Self().VM && entry.State != membership.Gone && len(lenders) < maxLenders {
+			lenders = append(lenders, lender{VM: entry.VM, Address: entry.MeshAddress})
+		}
 	}
+	return lenders
 }
 
 // askLoan asks one holder for a loan and takes it in.
--- a/quota/loan.go
+++ b/quota/loan.go
@@ -136,6 +136,9 @@
 	return least, ok
 }
 
+// Failing reports whether the owner has not answered the last ask.
+func (h *Holder) Failing() bool { return h.failing }
+
 // Borrow returns messages to the given number of lenders, if the owner has not
 // answered the last ask and this holder runs low.
 func (h *Holder) Borrow(now time.Time, waiting, lenders int) []Borrow {
