Compare a VM with the failures of its peers that were seen

The failure rate starts at 0 and takes each result in with weight 0.15, so a peer whose only results were two failures had the rate 0.28 and passed for one that works.

Excluded: the release of ejected VMs (it works once the median of the peers is above the margin); the property (two of nine out while all fail is what it is to prevent).

Change: peers are compared by the rate among the results that were seen, which is 1 if all of few failed. The VM under review is judged as before.

Conclusion: the start of a fleet whose common callee fails ejects one VM at most; a VM that begins to fail after successes is ejected as before.

--- a/routing/vm.go
+++ b/routing/vm.go
@@ -33,6 +33,9 @@
 	// last results.
 	failures    average
 	failureRate float64
+	// seen is the weight of the results in failureRate; the rest of it, up to
+	// 1, counts as successes that were not seen.
+	seen float64
 	// streak counts the failures since the last success.
 	streak  int
 	judged  time.Time
@@ -106,6 +109,7 @@
 // after as few of them as a quiet one.
 func (v *vm) result(failure float64, now time.Time) {
 	v.failureRate += resultGain * (failure - v.failureRate)
+	v.seen += resultGain * (1 - v.seen)
 	v.streak++
 	if failure == 0 {
 		v.streak = 0
@@ -114,9 +118,12 @@
 }
 
 // evidence returns the failure rate that other VMs are compared with; ok is
-// false if the VM had no result lately.
+// false if the VM had no result lately. It is the rate among the results that
+// were seen, so that a VM whose few results all failed does not pass for sound.
 func (v *vm) evidence(now time.Time, memory time.Duration) (rate float64, ok bool) {
-	rate, ok = v.failureRate, now.Sub(v.judged) <= memory
+	if v.seen > 0 && now.Sub(v.judged) <= memory {
+		rate, ok = v.failureRate/v.seen, true
+	}
 	if now.Sub(v.pastTime) <= memory && v.pastRate > rate {
 		rate, ok = v.pastRate, true
 	}
