Begin the baselines of the overload case after the layer's run again

Cause: the baselines began their normal load 3 s after the layer's surge, to save 3 s.

Change: the baselines wait for the end of the layer's run. Fleets are still started together.

--- a/internal/bench/overload.go
+++ b/internal/bench/overload.go
@@ -29,14 +29,11 @@
 // deepVMs*deepSlots/deepWork requests a second, 400, and a third of it, 133,
 // while it is slow.
 const (
-	normalRate    = 200
-	surgeRate     = 600
-	overloadWarm  = 3 * time.Second
-	overloadSurge = 10 * time.Second
-	overloadAfter = 6 * time.Second
-	// baselinesAfter is when the baselines begin their normal load: the layer
-	// must have recovered by then. Their surge begins when its run has ended.
-	baselinesAfter = overloadWarm + overloadSurge + recoveryBound
+	normalRate     = 200
+	surgeRate      = 600
+	overloadWarm   = 3 * time.Second
+	overloadSurge  = 10 * time.Second
+	overloadAfter  = 6 * time.Second
 	callerTimeout  = 1 * time.Second
 	callerRetries  = 3
 	callerPause    = 50 * time.Millisecond
@@ -132,14 +129,13 @@
 		return nil, err
 	}
 	rows := make([]overloadRow, len(runs))
-	started := time.Now()
+	if rows[0], err = runs[0].measure(ctx, env); err != nil {
+		return nil, err
+	}
 	group, groupCtx := errgroup.WithContext(ctx)
-	for i, run := range runs {
+	for i, run := range runs[1:] {
 		group.Go(func() (err error) {
-			if i > 0 {
-				time.Sleep(time.Until(started.Add(baselinesAfter)))
-			}
-			rows[i], err = run.measure(groupCtx, env)
+			rows[1+i], err = run.measure(groupCtx, env)
 			return err
 		})
 	}
