--- a/plugin/membership/report.go
+++ b/plugin/membership/report.go
@@ -238,10 +238,7 @@
 	for _, entry := range answer.Relays {
 		answer.Records = append(answer.Records, membership.Record{Entry: entry})
 	}
-	if learned := m.learn(relay, answer, now); learned && c.vm == "" {
-		// The next seed may know more.
-		m.seedDue = now
-	}
+	m.learn(relay, answer, now)
 	m.table.Vouch(answer.VM, now)
 	if !answer.Relay {
 		if c.vm != "" {
@@ -268,13 +265,11 @@
 	}
 }
 
-// learn takes in the records of an answer and reports whether any was new.
-func (m *Module) learn(relay bool, answer *reportAnswer, now time.Time) bool {
-	before := m.table.Sequence()
+// learn takes in the records of an answer. The caller holds m.mu.
+func (m *Module) learn(relay bool, answer *reportAnswer, now time.Time) {
 	for _, record := range answer.Records {
 		m.table.Learn(record, m.trusts(relay, answer, record.Entry), now)
 	}
-	return m.table.Sequence() != before
 }
 
 // complete notes that all VMs of a service are known.
