Work the capacity of relays out from one and from four failure domains

Change: internal/capacity takes a relay's cost as linear in the VMs of its failure domain and in the number of domains, from three fleets with a change a second, and says where it ends with and without changes.

Tests: the linear cost, and a line of slopes that lacks a fleet. TestRelayCostIsLinearInTheDomain went with the function that it tested.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -28,6 +28,9 @@
 	BudgetMemoryMB = 256
 	StoreReads     = 2_000
 	secondsPerDay  = 86_400
+	// targetChanges is ChangesPerDay for a second, rounded up, as in the
+	// slopes case.
+	targetChanges  = 1
 	relaysPerGroup = 3
 )
 
@@ -45,12 +48,17 @@
 	// entryChanges is the number of changes of a VM's entry in one restart.
 	entryChanges = 4
 	// controlMessages is the number of control messages that a relay takes
-	// from a VM of its failure domain in a second.
-	controlMessages = 3
-	// slopeDomains is the number of failure domains in the slopes case.
-	slopeDomains = 4
-	// storeCallsPerChange are the reads of one failure domain for a change.
-	storeCallsPerChange = 4
+	// from a VM of its failure domain in a second: a third of the two
+	// questions, and a short report from two thirds of the VMs.
+	controlMessages = 4.0 / 3
+)
+
+// Fleets of the slopes case that the costs of relays are worked out from.
+const (
+	fewNodes    = 16
+	manyNodes   = 64
+	oneDomain   = 1
+	manyDomains = 4
 )
 
 // Cost is what control costs a node in the slopes case.
@@ -64,6 +72,8 @@
 // Size is one fleet of the slopes case.
 type Size struct {
 	Nodes       int     `json:"nodes"`
+	Domains     int     `json:"failure_domains"`
+	Changes     int     `json:"changes_per_second"`
 	StorePerMin float64 `json:"store_calls_per_minute"`
 	Watches     int     `json:"store_watches"`
 	RelayCost   Cost    `json:"relay"`
@@ -121,8 +131,15 @@
 			m.Rates = l.Rates
 		}
 	}
-	if len(m.Sizes) < 2 || len(m.Decisions) == 0 || len(m.Rates) == 0 {
-		return nil, errors.New("the lines of slopes, decisions and added-latency are all needed")
+	if len(m.Decisions) == 0 || len(m.Rates) == 0 {
+		return nil, errors.New("the lines of decisions and added-latency are both needed")
+	}
+	for _, changes := range []int{0, targetChanges} {
+		for _, s := range []Size{m.size(fewNodes, oneDomain, changes), m.size(manyNodes, oneDomain, changes), m.size(manyNodes, manyDomains, changes)} {
+			if s.Nodes == 0 {
+				return nil, errors.New("the line of slopes lacks a fleet of one or of four failure domains")
+			}
+		}
 	}
 	return m, errors.Wrap(scanner.Err(), "read measured lines")
 }
@@ -138,26 +155,49 @@
 	return largest
 }
 
-// linear is a cost that grows with the VMs of a failure domain.
-type linear struct{ at, value, slope float64 }
+// size returns the fleet of the slopes case; its zero value if it was not run.
+func (m *Measured) size(nodes, domains, changes int) Size {
+	for _, s := range m.Sizes {
+		if s.Nodes == nodes && s.Domains == domains && s.Changes == changes {
+			return s
+		}
+	}
+	return Size{}
+}
+
+// linear is a relay's cost, which grows with the VMs of its failure domain and
+// with the number of failure domains.
+type linear struct{ value, perVM, perDomain float64 }
 
-func (l linear) of(x float64) float64 { return l.value + l.slope*(x-l.at) }
+func (l linear) of(vms, domains float64) float64 {
+	return l.value + l.perVM*(vms-fewNodes) + l.perDomain*(domains-oneDomain)
+}
 
-// limit returns where the cost reaches a budget.
-func (l linear) limit(budget float64) float64 {
-	if l.slope <= 0 {
+// limit returns the VMs of a failure domain at which the cost reaches a
+// budget, of a fleet with the number of failure domains.
+func (l linear) limit(budget, domains float64) float64 {
+	if l.perVM <= 0 {
 		return math.Inf(1)
 	}
-	return l.at + (budget-l.value)/l.slope
+	return max(0, fewNodes+(budget-l.of(fewNodes, domains))/l.perVM)
 }
 
-func (m *Measured) relay(cost func(Cost) float64) linear {
-	last, before := m.Sizes[len(m.Sizes)-1], m.Sizes[len(m.Sizes)-2]
-	x, earlier := float64(last.Nodes)/slopeDomains, float64(before.Nodes)/slopeDomains
-	value := cost(last.RelayCost)
-	return linear{at: x, value: value, slope: (value - cost(before.RelayCost)) / (x - earlier)}
+// relay returns a relay's cost at a rate of changes, from three fleets: two of
+// one failure domain, and one with as many VMs for each of several.
+func (m *Measured) relay(changes int, cost func(Cost) float64) linear {
+	few, many := m.size(fewNodes, oneDomain, changes), m.size(manyNodes, oneDomain, changes)
+	spread := m.size(manyNodes, manyDomains, changes)
+	value := cost(few.RelayCost)
+	return linear{
+		value:     value,
+		perVM:     (cost(many.RelayCost) - value) / (manyNodes - fewNodes),
+		perDomain: (cost(spread.RelayCost) - value) / (manyDomains - oneDomain),
+	}
 }
 
+func bytesOf(c Cost) float64 { return c.Bytes }
+func coresOf(c Cost) float64 { return c.Cores }
+
 // Row is one role at full size.
 type Row struct {
 	Role, State, Messages string
@@ -182,16 +222,17 @@
 	perDomain := float64(Servers) / Domains
 	changes := float64(ChangesPerDay) / secondsPerDay
 	calls := float64(CallsPerSecond) / Servers
-	last := m.Sizes[len(m.Sizes)-1]
+	last := m.size(manyNodes, manyDomains, targetChanges)
 	rate := m.Rates[len(m.Rates)-1]
 	compile := (m.decision("change: sections compiled").Nanos + m.decision("change: delta applied").Nanos) / 1e9
 	delta := m.decision("change: bytes to each node").Bytes
 	document := m.decision("document in memory")
 	documentMB := document.BytesPerEntry * float64(document.Entries) / 1e6
-	cores, traffic := m.relay(func(c Cost) float64 { return c.Cores }), m.relay(func(c Cost) float64 { return c.Bytes })
+	cores, traffic := m.relay(targetChanges, coresOf), m.relay(targetChanges, bytesOf)
+	idleCores, idleTraffic := m.relay(0, coresOf), m.relay(0, bytesOf)
 	entries := m.decision("membership heartbeat").BytesPerEntry * Servers / 1e6
 	view := m.decision("membership view of a change").Nanos / 1e9 * RestartsPerDay * entryChanges / secondsPerDay
-	message := cores.slope / controlMessages
+	message := idleCores.perVM / controlMessages
 	ask := m.decision("quota ask")
 	asks := holdersOfLargest / askSeconds
 	pinned := calls * notIdempotent
@@ -204,25 +245,30 @@
 		{Role: "any node's control", State: fmt.Sprintf("document of %.1f MB", float64(document.Entries)/1e6), Messages: fmt.Sprintf("%.2f changes/s", changes),
 			Cores: last.OtherCost.Cores + changes*compile, Bytes: last.OtherCost.Bytes + changes*delta, MB: last.OtherCost.MB + documentMB, Control: true},
 		{Role: "relay", State: fmt.Sprintf("%d entries", Servers), Messages: fmt.Sprintf("%.0f/s from %.0f VMs", perDomain*controlMessages, perDomain),
-			Cores: cores.of(perDomain) + changes*compile + view, Bytes: traffic.of(perDomain) + changes*delta*perDomain/relaysPerGroup,
+			Cores: cores.of(perDomain, Domains) + changes*compile + view, Bytes: traffic.of(perDomain, Domains) + changes*delta*perDomain/relaysPerGroup,
 			MB: last.RelayCost.MB + documentMB + entries, Control: true},
 		{Role: "quota owner", State: fmt.Sprintf("%d holders of the largest organisation", holdersOfLargest), Messages: fmt.Sprintf("%.0f asks/s", asks),
-			Cores: asks * (ask.Nanos/1e9 + message), Bytes: asks * traffic.slope / controlMessages, MB: ask.BytesPerEntry * holdersOfLargest / 1e6, Control: true},
+			Cores: asks * (ask.Nanos/1e9 + message), Bytes: asks * idleTraffic.perVM / controlMessages, MB: ask.BytesPerEntry * holdersOfLargest / 1e6, Control: true},
 	}
 }
 
 // Limits says where today's build breaks first.
 func (m *Measured) Limits() string {
-	perDomain := float64(Servers) / Domains
 	changes := float64(ChangesPerDay) / secondsPerDay
-	cores, traffic := m.relay(func(c Cost) float64 { return c.Cores }), m.relay(func(c Cost) float64 { return c.Bytes })
-	store := m.Sizes[len(m.Sizes)-1].StorePerMin / 60 / slopeDomains
-	reads := Domains * (store + storeCallsPerChange*changes)
 	var b strings.Builder
-	fmt.Fprintf(&b, "- A relay reaches %d bytes a second at %.0f VMs in its failure domain, and %.1f%% of a core at %.0f; the target has %.0f.\n",
-		BudgetBytes, traffic.limit(BudgetBytes), 100*BudgetCores, math.Max(0, cores.limit(BudgetCores)), perDomain)
-	fmt.Fprintf(&b, "- The store gets %.0f reads a second of %d: %.2f a second for each failure domain and %d for each change.\n",
-		reads, StoreReads, store, storeCallsPerChange)
+	for _, at := range []struct {
+		name    string
+		changes int
+		domains float64
+	}{{"without changes, four failure domains", 0, manyDomains}, {"without changes", 0, Domains}, {"one change a second", targetChanges, Domains}} {
+		cores, traffic := m.relay(at.changes, coresOf), m.relay(at.changes, bytesOf)
+		fmt.Fprintf(&b, "- A relay, %s: %d bytes a second at %.0f VMs in its failure domain, %.1f%% of a core at %.0f; each VM adds %.0f bytes a second and %.4f%% of a core.\n",
+			at.name, BudgetBytes, traffic.limit(BudgetBytes, at.domains), 100*BudgetCores, cores.limit(BudgetCores, at.domains), traffic.perVM, 100*cores.perVM)
+	}
+	idle, changing := m.size(manyNodes, manyDomains, 0).StorePerMin/60/manyDomains, m.size(manyNodes, manyDomains, targetChanges).StorePerMin/60/manyDomains
+	perChange := (changing - idle) / targetChanges
+	fmt.Fprintf(&b, "- The store gets %.0f calls a second of %d: %.2f a second for each failure domain and %.2f for each change.\n",
+		Domains*(idle+perChange*changes), StoreReads, idle, perChange)
 	return b.String()
 }
 
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -21,10 +21,23 @@
 		"run 'go run ./cmd/mangomast-bench capacity' and put its output into the page:\n%s", measured.Markdown())
 }
 
-func TestRelayCostIsLinearInTheDomain(t *testing.T) {
-	m := &Measured{Sizes: []Size{{Nodes: 16, RelayCost: Cost{Bytes: 100}}, {Nodes: 64, RelayCost: Cost{Bytes: 220}}}}
-	cost := m.relay(func(c Cost) float64 { return c.Bytes })
-	assert.Equal(t, cost.of(4), 100.0)
-	assert.Equal(t, cost.of(26), 320.0)
-	assert.Equal(t, cost.limit(320), 26.0)
+func TestRelayCostIsLinearInVMsAndFailureDomains(t *testing.T) {
+	m := &Measured{Sizes: []Size{
+		{Nodes: 4, Domains: 4, RelayCost: Cost{Bytes: 7}},
+		{Nodes: 16, Domains: 1, RelayCost: Cost{Bytes: 100}},
+		{Nodes: 64, Domains: 1, RelayCost: Cost{Bytes: 580}},
+		{Nodes: 64, Domains: 4, RelayCost: Cost{Bytes: 130}},
+		{Nodes: 64, Domains: 4, Changes: 1, RelayCost: Cost{Bytes: 1000}},
+	}}
+	cost := m.relay(0, bytesOf)
+	assert.Equal(t, cost.of(16, 1), 100.0)
+	assert.Equal(t, cost.of(26, 1), 200.0)
+	assert.Equal(t, cost.of(26, 4), 230.0)
+	assert.Equal(t, cost.limit(230, 4), 26.0)
+	assert.Equal(t, cost.limit(0, 38), 0.0)
+}
+
+func TestMissingFleetIsReported(t *testing.T) {
+	_, err := Parse([]byte(`{"case":"decisions","decisions":[{}]}` + "\n" + `{"case":"added-latency","rates":[{}]}`))
+	assert.ErrorContains(t, err, "slopes")
 }
