--- a/plugin/console/pages.go
+++ b/plugin/console/pages.go
@@ -83,16 +83,24 @@
 	return spec, nil
 }
 
-func (m *Module) showCollection(c echo.Context) error {
+// open returns the request's collection and a reader of the latest document.
+func (m *Module) open(c echo.Context) (collectionSpec, *edit.Reader, error) {
 	spec, err := m.collection(c)
 	if err != nil {
-		return m.refuse(c, err)
+		return spec, nil, err
 	}
 	current, err := m.read(c)
+	if err != nil {
+		return spec, nil, err
+	}
+	return spec, edit.NewReader(current.Document), nil
+}
+
+func (m *Module) showCollection(c echo.Context) error {
+	spec, reader, err := m.open(c)
 	if err != nil {
 		return m.refuse(c, err)
 	}
-	reader := edit.NewReader(current.Document)
 	content := collectionContent{Collection: spec, Keys: spec.Name == "keys"}
 	for _, id := range reader.IDs(spec.Name) {
 		opened, err := openForm(spec, id, reader)
@@ -121,15 +129,10 @@
 }
 
 func (m *Module) showEdit(c echo.Context) error {
-	spec, err := m.collection(c)
+	spec, reader, err := m.open(c)
 	if err != nil {
 		return m.refuse(c, err)
 	}
-	current, err := m.read(c)
-	if err != nil {
-		return m.refuse(c, err)
-	}
-	reader := edit.NewReader(current.Document)
 	opened, err := openForm(spec, c.Param("id"), reader)
 	if err != nil {
 		return m.refuse(c, err)
@@ -247,16 +250,12 @@
 }
 
 func (m *Module) previewRemoval(c echo.Context) error {
-	spec, err := m.collection(c)
-	if err != nil {
-		return m.refuse(c, err)
-	}
-	current, err := m.read(c)
+	spec, reader, err := m.open(c)
 	if err != nil {
 		return m.refuse(c, err)
 	}
 	field := "/" + spec.Name + "/" + c.FormValue("element")
-	old, err := edit.Value(current.Document, field)
+	old, err := reader.Value(field)
 	if err != nil {
 		return m.refuse(c, err)
 	}
