Count a witness that has ended as one that acknowledges

By arithmetic, a second witness was started again before the table that replaced the first one was accepted. Majorities of the current and the previous set are needed then, 9 of 18 of the previous set's weight had ended, and 9 is none.

Excluded: leaving the previous majority out (a part of the fleet that is cut off and holds it would stay fresh at an older revision); counting every earlier incarnation of a VM as ended (it may run on behind a partition).

Change: the witness table names mesh addresses. A witness counts as acknowledging if a later incarnation of its VM was heard on the same address, where two processes cannot listen.

Before: TestRestartsWhileTheTableChangesDoNotHoldUpAcceptance cannot be satisfied: half of the set acknowledges nothing. After: it passes.

Conclusion: restarts cannot hold acceptance up. The stall on real processes was not made to happen again.

--- a/membership/table.go
+++ b/membership/table.go
@@ -320,6 +320,16 @@
 	return records
 }
 
+// Latest returns the newest entry of a VM, also of one that was removed but not
+// forgotten yet.
+func (t *Table) Latest(vm string) (Entry, bool) {
+	m := t.members[vm]
+	if m == nil {
+		return Entry{}, false
+	}
+	return m.entry, true
+}
+
 // Entries returns the entries of all live VMs, ordered by VM.
 func (t *Table) Entries() []Entry { return collect(t.members, (*member).live) }
 
--- a/plugin/config/acceptance.go
+++ b/plugin/config/acceptance.go
@@ -84,6 +84,7 @@
 		return
 	}
 	self, relays := m.members.Self(), m.members.OtherRelays()
+	ended := m.endedWitnesses()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
@@ -96,12 +97,25 @@
 		m.publishProof()
 	}
 	evidence := revision.Evidence{
-		Acknowledged: func(r int64) bool { return m.attested.Acknowledged(m.witnesses, settled, r) },
+		Acknowledged: func(r int64) bool { return m.attested.Acknowledged(m.witnesses, settled, r, ended) },
 		Everyone:     func(r int64) bool { return m.everyone(r, own, relays, now) },
 	}
 	m.accepted.Store(m.acceptance.Decide(evidence, now))
 }
 
+// endedWitnesses returns a function that reports whether a witness is known to
+// have ended, because a later incarnation listens on its address.
+func (m *Module) endedWitnesses() func(revision.Witness) bool {
+	m.mu.Lock()
+	table := m.witnesses
+	m.mu.Unlock()
+	ended := map[revision.Witness]bool{}
+	for _, w := range table.All() {
+		ended[w] = m.members.Replaced(w.VM, w.Incarnation, w.MeshAddress)
+	}
+	return func(w revision.Witness) bool { return ended[w] }
+}
+
 // settled reports whether the witness table's own revision was accepted. The
 // caller holds m.mu.
 func (m *Module) settled() bool {
@@ -201,7 +215,8 @@
 		wanted = nil
 		for _, r := range relays {
 			wanted = append(wanted, revision.Witness{
-				FailureDomain: own, VM: r.VM, Incarnation: r.Incarnation, Weight: revision.Share(weight, len(relays)),
+				FailureDomain: own, VM: r.VM, Incarnation: r.Incarnation, MeshAddress: r.MeshAddress,
+				Weight: revision.Share(weight, len(relays)),
 			})
 		}
 	}
--- a/plugin/config/progress.go
+++ b/plugin/config/progress.go
@@ -54,12 +54,13 @@
 	own := m.newReport()
 	_, missing := m.members.OwnDomain(m.clock.Now().Add(-m.Bound.Std()))
 	relays := m.members.OtherRelays()
+	ended := m.endedWitnesses()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var waits []string
 	if m.held() < wanted {
 		waits = append(waits, "the store to be read")
-	} else if !m.attested.Acknowledged(m.witnesses, m.settled(), wanted) {
+	} else if !m.attested.Acknowledged(m.witnesses, m.settled(), wanted, ended) {
 		waits = append(waits, "a majority of the failure domains")
 	}
 	for _, entry := range missing {
--- a/plugin/membership/fleet.go
+++ b/plugin/membership/fleet.go
@@ -42,6 +42,15 @@
 	return m.table.Held(m.self.FailureDomain, after)
 }
 
+// Replaced reports whether a later incarnation of the VM's node was heard of
+// that listens on the same mesh address, so that the earlier one has ended.
+func (m *Module) Replaced(vm string, incarnation uint64, meshAddress string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	entry, known := m.table.Latest(vm)
+	return known && entry.Incarnation > incarnation && entry.MeshAddress == meshAddress
+}
+
 // HearAgain takes in that another node of the own failure domain, whose entry
 // is known, asked a question and what revision it holds; a report then need not
 // say so.
--- a/revision/witness.go
+++ b/revision/witness.go
@@ -24,6 +24,10 @@
 	VM            string `json:"vm"`
 	Incarnation   uint64 `json:"incarnation"`
 	Weight        int    `json:"weight"`
+	// MeshAddress is the IP:port that the incarnation listens on. Two processes
+	// cannot listen on one address, so a later incarnation heard from there
+	// proves that this one has ended.
+	MeshAddress string `json:"mesh_address,omitempty"`
 }
 
 // WitnessTable names the witnesses. It is part of the stream. While its own
@@ -98,11 +102,14 @@
 	return found
 }
 
+// All returns the witnesses, those of Previous included; some may stand twice.
+func (t *WitnessTable) All() []Witness { return append(slices.Clone(t.Current), t.Previous...) }
+
 // Names returns the VMs of the witnesses that keep returns true for, those of
 // Previous included.
 func (t *WitnessTable) Names(keep func(Witness) bool) []string {
 	var names []string
-	for _, w := range append(slices.Clone(t.Current), t.Previous...) {
+	for _, w := range t.All() {
 		if keep(w) {
 			names = append(names, w.VM)
 		}
@@ -155,7 +162,7 @@
 // Said returns what the witnesses that keep returns true for said, each once.
 func (a *Attestations) Said(t *WitnessTable, keep func(Witness) bool, now time.Time) []Said {
 	var all []Said
-	for _, w := range append(slices.Clone(t.Current), t.Previous...) {
+	for _, w := range t.All() {
 		said := a.of(w)
 		repeated := slices.ContainsFunc(all, func(s Said) bool { return s.VM == w.VM && s.Incarnation == w.Incarnation })
 		if said.at.IsZero() || repeated || !keep(w) {
@@ -194,19 +201,21 @@
 }
 
 // Acknowledged reports whether a majority holds the revision or a later one.
-// An empty table has no majority to wait for.
-func (a *Attestations) Acknowledged(t *WitnessTable, settled bool, revision int64) bool {
+// A witness that has ended counts as one that does: it can attest an earlier
+// revision no more, and what it attested before it ended is older than the
+// acknowledgement. An empty table has no majority to wait for.
+func (a *Attestations) Acknowledged(t *WitnessTable, settled bool, revision int64, ended func(Witness) bool) bool {
 	if len(t.Current) == 0 {
 		return true
 	}
-	return t.Quorum(settled, func(w Witness) bool { return a.of(w).revision >= revision })
+	return t.Quorum(settled, func(w Witness) bool { return a.of(w).revision >= revision || ended(w) })
 }
 
 // Proof returns the latest time since which a majority has attested exactly
 // the revision; ok is false if there is no such majority.
 func (a *Attestations) Proof(t *WitnessTable, settled bool, revision int64) (at time.Time, ok bool) {
 	var times []time.Time
-	for _, w := range append(slices.Clone(t.Current), t.Previous...) {
+	for _, w := range t.All() {
 		if said := a.of(w); said.revision == revision && !said.at.IsZero() {
 			times = append(times, said.at)
 		}
