Drop an operator's session from callers' requests

Cause: browsers send a cookie to all ports of a host. An operator who is signed in to a node's console and opens a service on the same IP number sent the session along, and the ingress passed it on to upstreams, which could then have acted as the operator for up to 8 hours.

Excluded: the cookie's path and SameSite (neither tells ports apart).

Change: the ingress drops the cookie; its name stands in package operator.

Before: TestOperatorsSessionsAreDropped fails ("mangomast_operator=signed; session=kept" reached the upstream's side). After: it passes.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -26,6 +26,10 @@
 	PathStatus   = "/api/status"
 )
 
+// SessionCookie holds a signed-in operator's session with the console. Browsers
+// send it to all ports of a node's IP number, so the callers' side drops it.
+const SessionCookie = "mangomast_operator"
+
 // TokenPrefix starts each operator's token.
 const TokenPrefix = "mmop_"
 
--- a/plugin/console/session.go
+++ b/plugin/console/session.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	sessionCookie     = "mangomast_operator"
 	sessionLength     = 8 * time.Hour
 	sessionContextKey = "console-session"
 	csrfField         = "csrf"
@@ -59,7 +58,7 @@
 	expires := s.clock.Now().Add(sessionLength)
 	value := tokenHash + "." + strconv.FormatInt(expires.Unix(), 10)
 	return &http.Cookie{
-		Name:  sessionCookie,
+		Name:  operator.SessionCookie,
 		Value: base64.RawURLEncoding.EncodeToString([]byte(value + "." + sign(s.key, value))),
 		Path:  "/", Expires: expires, HttpOnly: true, SameSite: http.SameSiteStrictMode,
 	}
@@ -104,7 +103,7 @@
 }
 
 func (s *sessions) signedIn(c echo.Context) (session, bool) {
-	cookie, err := c.Cookie(sessionCookie)
+	cookie, err := c.Cookie(operator.SessionCookie)
 	if err != nil {
 		return session{}, false
 	}
@@ -140,6 +139,6 @@
 }
 
 func (m *Module) logout(c echo.Context) error {
-	c.SetCookie(&http.Cookie{Name: sessionCookie, Path: "/", MaxAge: -1, HttpOnly: true, SameSite: http.SameSiteStrictMode})
+	c.SetCookie(&http.Cookie{Name: operator.SessionCookie, Path: "/", MaxAge: -1, HttpOnly: true, SameSite: http.SameSiteStrictMode})
 	return c.Redirect(http.StatusSeeOther, "/login")
 }
--- a/plugin/ingress/key.go
+++ b/plugin/ingress/key.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/operator"
 )
 
 // Places where callers may put their key, besides call.HeaderKey and
@@ -69,6 +70,8 @@
 	u.RawQuery = strings.Join(kept, "&")
 }
 
+// takeCookieKey takes off the cookie that holds a key, and the session of an
+// operator who is signed in to the console on the same IP number.
 func takeCookieKey(r *http.Request, note func(string)) {
 	cookies := r.Cookies()
 	if len(cookies) == 0 {
@@ -80,6 +83,9 @@
 			note(cookie.Value)
 			continue
 		}
+		if cookie.Name == operator.SessionCookie {
+			continue
+		}
 		r.AddCookie(cookie)
 	}
 }
--- a/plugin/ingress/key_test.go
+++ b/plugin/ingress/key_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/operator"
 )
 
 func TestTakeKeyRemovesEveryCopy(t *testing.T) {
@@ -36,6 +37,17 @@
 	}
 }
 
+// TestOperatorsSessionsAreDropped covers a browser that is signed in to the
+// console and calls a service on the same IP number.
+func TestOperatorsSessionsAreDropped(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	r.AddCookie(&http.Cookie{Name: operator.SessionCookie, Value: "signed"})
+	r.AddCookie(&http.Cookie{Name: "session", Value: "kept"})
+	_, ok := takeKey(r)
+	assert.Assert(t, !ok)
+	assert.Equal(t, r.Header.Get("Cookie"), "session=kept")
+}
+
 func TestTakeKeyRefusesTwoKeys(t *testing.T) {
 	r := httptest.NewRequest(http.MethodGet, "/x?mangomast_key=one", nil)
 	r.Header.Set(call.HeaderKey, "two")
