Ping a connection whose answer is overdue, and let shares outlast that

A holder's share ends 1.5 s after its last ask unless its arbiter extends it, while a link that carries no calls is looked after so seldom now that silence on it is found after up to 4.8 s. The holder's asks ran into their timeout of 0.3 s on the silent connection again and again, and all its requests were refused.

Change: an answer that is overdue has its connection pinged at once, so silence is found 0.8 s after the first overdue answer, whatever the link carries. The soft lease is 2.5 s, which covers an overdue ask, the ping, dialing and another ask. The case counts failures by their reason.

Before: TestOverdueAnswerFindsASilentConnection fails (the link stays open); the case does not hold.

A lost holder's share is missing 1 s longer.

--- a/internal/bench/silent.go
+++ b/internal/bench/silent.go
@@ -45,6 +45,9 @@
 	LongestMS int64 `json:"longest_ms"`
 	P99MS     int64 `json:"p99_ms"`
 
+	// Reasons counts the failures by what the caller saw.
+	Reasons map[string]int `json:"reasons,omitempty"`
+
 	mu sync.Mutex
 	// silencedAt is when connections last went silent.
 	silencedAt time.Time
@@ -97,7 +100,7 @@
 		return nil, err
 	}
 	defer fleet.Close()
-	figures := &silentFigures{}
+	figures := &silentFigures{Reasons: map[string]int{}}
 	random := rand.New(rand.NewPCG(env.Seed, 4))
 	var group sync.WaitGroup
 	group.Go(func() { figures.send(ctx, fleet, keys[0]) })
@@ -126,7 +129,7 @@
 		started := time.Now()
 		resp, err := callers[number%len(callers)].Send(ctx, req, "")
 		ok := err == nil && resp.Status == http.StatusOK
-		f.observe(started, !req.Idempotent, ok)
+		f.observe(started, !req.Idempotent, ok, failureReason(resp, err))
 		return load.Sample{OK: ok}
 	}})
 	f.Requests, f.Failed = result.All.Sent, result.All.Sent-result.All.OK
@@ -139,7 +142,7 @@
 	f.silencedAt = time.Now()
 }
 
-func (f *silentFigures) observe(started time.Time, pinned, ok bool) {
+func (f *silentFigures) observe(started time.Time, pinned, ok bool, reason string) {
 	took := time.Since(started)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -150,6 +153,7 @@
 	if ok {
 		return
 	}
+	f.Reasons[reason]++
 	if pinned {
 		f.PinnedFailed++
 	}
--- a/mesh/client.go
+++ b/mesh/client.go
@@ -107,6 +107,10 @@
 			l.closeStream(s)
 			return nil, &TransportError{Err: ctx.Err()}
 		}
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// An overdue answer may be a sign that the connection went silent.
+			l.check(s.class)
+		}
 		l.cancelStream(s)
 		return nil, &TransportError{Sent: true, Err: ctx.Err()}
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -21,14 +21,15 @@
 
 func newTestMesh(t *testing.T, vm, secret string) (*Mesh, string) {
 	t.Helper()
-	return newPingingMesh(t, vm, secret, 0)
+	return newPingingMesh(t, vm, secret, 0, 0)
 }
 
-// newPingingMesh returns a mesh with a ping interval; 0 for the default.
-func newPingingMesh(t *testing.T, vm, secret string, interval time.Duration) (*Mesh, string) {
+// newPingingMesh returns a mesh with a ping interval and timeout; 0 for the
+// defaults.
+func newPingingMesh(t *testing.T, vm, secret string, interval, timeout time.Duration) (*Mesh, string) {
 	t.Helper()
 	m, err := New(Options{
-		PingInterval: interval, PingTimeout: 20 * interval,
+		PingInterval: interval, PingTimeout: timeout,
 		Self:   Identity{VM: vm, Incarnation: 1, FailureDomain: "d", Region: "r"},
 		Secret: secret,
 		Log:    &log.Logger{Handler: discard.New()},
--- a/mesh/pinger.go
+++ b/mesh/pinger.go
@@ -45,18 +45,33 @@
 	inUse := l.conn(Calls) != nil
 	for class := range classes {
 		c := l.conn(class)
-		if c == nil || !c.pingDue(inUse, tick) || !c.pinging.CompareAndSwap(false, true) {
-			continue
+		if c != nil && c.pingDue(inUse, tick) {
+			c.check()
 		}
-		go func() {
-			defer c.pinging.Store(false)
-			if err := c.pingOnce(l.ctx); err != nil {
-				c.fail("ping", err)
-			}
-		}()
 	}
 }
 
+// check looks after the link's connection of the class at once.
+func (l *link) check(class Class) {
+	if c := l.conn(class); c != nil {
+		c.check()
+	}
+}
+
+// check pings the connection, unless a ping is on its way, and ends its link if
+// no pong comes. It does not block.
+func (c *conn) check() {
+	if !c.pinging.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.pinging.Store(false)
+		if err := c.pingOnce(c.link.ctx); err != nil {
+			c.fail("ping", err)
+		}
+	}()
+}
+
 // pingDue reports whether the connection is to be pinged at the tick. A
 // connection without calls on its link is not, if a frame or a ping arrived
 // since it was last looked at. It is called by the pinger's goroutine only.
--- a/quota/arbiter.go
+++ b/quota/arbiter.go
@@ -5,8 +5,9 @@
 const (
 	// softLease is the least time for which a share is valid without the
 	// arbiter's word, and softIntervals the number of intervals between asks
-	// that it spans at least.
-	softLease     = 1500 * time.Millisecond
+	// that it spans at least. It is long enough to find a silent connection by
+	// an overdue ask and a ping, to dial anew and to ask again.
+	softLease     = 2500 * time.Millisecond
 	softIntervals = 3
 	// closeGap is the least time between two questions about a record, and
 	// extendGap between two about a share.
