Leave owners alone that a relay has never seen

A relay takes an owner that is not in its view for gone; one second after its own start it may simply not have heard of it. Each change of the owner costs a term, and a successor without its predecessor's book counts the whole limit as out, so that the organisation can be refused for seconds.

Change: a relay notes which owners of the table it has seen. It replaces one that it has not seen only if it knows a later incarnation of the VM, or after 10 s.

After: it is kept until it was seen and has gone.

Conclusion: an owner that is lost while all relays start anew is replaced after 10 s only.

--- a/plugin/quota/keeper.go
+++ b/plugin/quota/keeper.go
@@ -18,6 +18,8 @@
 const (
 	// settleTime is how long a relay learns the members before it writes.
 	settleTime = time.Second
+	// unseenTime is how long it leaves owners alone that it has never seen.
+	unseenTime = 10 * time.Second
 	// keepInterval is the time between two looks at the table.
 	keepInterval = 200 * time.Millisecond
 	// rankDelay is the time that a node leaves to each one before it in rank.
@@ -42,6 +44,7 @@
 	delay time.Duration
 	// completeSince is when this node became a relay; zero if it is none.
 	completeSince time.Time
+	sightings     quota.Sightings
 }
 
 func newTableKeeper(m *Module, platform store.Store, relays *membershipplugin.Module, key string) *tableKeeper {
@@ -69,6 +72,9 @@
 		return keepInterval
 	}
 	candidates := candidatesOf(view)
+	if unseen := k.sightings.Unseen(snapshot.Owners, candidates); k.clock.Since(k.completeSince) < unseenTime {
+		candidates = append(candidates, unseen...)
+	}
 	next, changed := quota.Assign(snapshot.Owners, snapshot.Document.Organisations, candidates, storeRegion(snapshot.Document))
 	if !changed {
 		k.since = time.Time{}
