Run duties at intervals by one function, and look up witnesses only if needed

Cause: reading the whole change again. The loop "at each tick until the context ends" stood in seven modules; the limit expected of a cold upstream was worked out twice in admission, and a holder's ID from an identity three times in plugin/quota. A relay looked up whether each witness was replaced, with a lock for each, at every decision, also while no revision waited for acceptance, and then never used the result.

Excluded, looked at and left: the holders' loop, which ends when no holding is left; the membership loop, which wakes early too; peers made from an entry and the fleets that cases start, which are literals and no logic.

Change: kernel.Every; Controller.expected; holderOf; endedWitnesses returns at once while nothing waits. Behaviour stays: the same intervals, the first look where there was one, no test changed.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -162,14 +162,20 @@
 	if c.service.mean == 0 {
 		return c.opts.Queue
 	}
-	limit := c.limit.Value()
-	if c.warming {
-		limit = c.opts.Slots
-	}
+	limit := c.expected()
 	served := int64(limit) * int64(c.maxWait()) / int64(c.service.mean)
 	return min(c.opts.Queue, max(limit, int(served)))
 }
 
+// expected returns the limit that a cold upstream is likely to come to, its
+// slots, or the limit of one that is warm.
+func (c *Controller) expected() int {
+	if c.warming {
+		return c.opts.Slots
+	}
+	return c.limit.Value()
+}
+
 // maxWait returns the longest time in the queue. Requests wait longer for a
 // cold upstream, whose limit doubles in that time.
 func (c *Controller) maxWait() time.Duration {
@@ -212,12 +218,8 @@
 
 // State returns the state.
 func (c *Controller) State(now time.Time) State {
-	expected := c.limit.Value()
-	if c.warming {
-		expected = c.opts.Slots
-	}
 	return State{
-		Running: len(c.running), Queued: c.queue.len(), Limit: c.limit.Value(), Expected: expected,
+		Running: len(c.running), Queued: c.queue.len(), Limit: c.limit.Value(), Expected: c.expected(),
 		Service: c.serviceTime(now), Dropped: c.dropped,
 	}
 }
--- a/plugin/config/acceptance.go
+++ b/plugin/config/acceptance.go
@@ -104,12 +104,16 @@
 }
 
 // endedWitnesses returns a function that reports whether a witness is known to
-// have ended, because a later incarnation listens on its address.
+// have ended, because a later incarnation listens on its address. Nobody is
+// looked up while no revision waits for acceptance, as it is not called then.
 func (m *Module) endedWitnesses() func(revision.Witness) bool {
 	m.mu.Lock()
-	table := m.witnesses
+	table, waiting := m.witnesses, m.acceptance.Waiting()
 	m.mu.Unlock()
 	ended := map[revision.Witness]bool{}
+	if !waiting {
+		return func(revision.Witness) bool { return false }
+	}
 	for _, w := range table.All() {
 		ended[w] = m.members.Replaced(w.VM, w.Incarnation, w.MeshAddress)
 	}
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -291,15 +291,10 @@
 
 // follow asks for what is new in intervals.
 func (m *Module) follow(ctx context.Context) error {
-	ticker := m.clock.NewTicker(m.Interval.Std())
-	defer ticker.Stop()
-	for {
+	ask := func(ctx context.Context) {
 		m.askAll(ctx)
 		m.decide()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
 	}
+	ask(ctx)
+	return kernel.Every(ctx, m.clock, m.Interval.Std(), ask)
 }
--- a/plugin/inbound/gate.go
+++ b/plugin/inbound/gate.go
@@ -11,6 +11,7 @@
 	"github.com/mangomast/mangomast/admission"
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/settings"
 	"github.com/mangomast/mangomast/shedding"
 )
@@ -64,16 +65,7 @@
 
 // adjust ticks the current gate.
 func (m *Module) adjust(ctx context.Context) error {
-	ticker := m.clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-			m.serving.Load().gate.Tick()
-		}
-	}
+	return kernel.Every(ctx, m.clock, tickInterval, func(context.Context) { m.serving.Load().gate.Tick() })
 }
 
 // sheddingGate drives an admission.Controller and a shedding.Publisher.
--- a/plugin/inbound/levels.go
+++ b/plugin/inbound/levels.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
 	"github.com/mangomast/mangomast/shedding"
@@ -89,16 +90,7 @@
 
 // keep announces whether ingresses had better ask, and forgets old levels.
 func (l *routeLevels) keep(ctx context.Context) error {
-	ticker := l.clock.NewTicker(levelsInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-			l.announce()
-		}
-	}
+	return kernel.Every(ctx, l.clock, levelsInterval, func(context.Context) { l.announce() })
 }
 
 func (l *routeLevels) announce() {
--- a/plugin/inbound/upstream.go
+++ b/plugin/inbound/upstream.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/settings"
 )
@@ -123,21 +124,16 @@
 	if u.static.Service == "" {
 		u.log.Info("no upstream in the settings; waiting for its announcement")
 	}
-	ticker := u.clock.NewTicker(probeInterval)
-	defer ticker.Stop()
 	warned := false
-	for {
+	look := func(ctx context.Context) {
 		if u.static.Service != "" {
 			warned = u.probe(ctx, warned)
 		} else {
 			u.expire()
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
 	}
+	look(ctx)
+	return kernel.Every(ctx, u.clock, probeInterval, look)
 }
 
 // probe connects to the upstream of the settings. It returns whether the
--- a/plugin/ingress/shed.go
+++ b/plugin/ingress/shed.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/shedding"
 )
 
@@ -66,14 +67,5 @@
 
 // expireLevels forgets VMs that were not heard of for long.
 func (m *Module) expireLevels(ctx context.Context) error {
-	ticker := m.clock.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
-		m.levels.expire()
-	}
+	return kernel.Every(ctx, m.clock, expireInterval, func(context.Context) { m.levels.expire() })
 }
--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -227,24 +227,19 @@
 // run exchanges records with a random other VM of the service, so that a VM
 // that was not reached, or that is new, learns them.
 func (m *Module) run(ctx context.Context) error {
-	ticker := m.clock.NewTicker(syncInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
-		service := m.members.Self().Service
-		if service == "" {
-			continue
-		}
-		others := m.others(service)
-		if len(others) == 0 {
-			continue
-		}
-		syncCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		m.exchange(syncCtx, others[rand.IntN(len(others))])
-		cancel()
+	return kernel.Every(ctx, m.clock, syncInterval, m.synchronize)
+}
+
+func (m *Module) synchronize(ctx context.Context) {
+	service := m.members.Self().Service
+	if service == "" {
+		return
+	}
+	others := m.others(service)
+	if len(others) == 0 {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	m.exchange(ctx, others[rand.IntN(len(others))])
 }
--- a/plugin/quota/arbiter.go
+++ b/plugin/quota/arbiter.go
@@ -41,8 +41,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	holder := quota.HolderID{VM: from.VM, Incarnation: from.Incarnation}
-	s.arbiter.Extend(s.clock.Now(), holder, ask)
+	s.arbiter.Extend(s.clock.Now(), holderOf(from), ask)
 	return verdict{Granted: true}, nil
 }
 
@@ -56,8 +55,7 @@
 }
 
 func (s *arbiterServer) isSelf(id quota.HolderID) bool {
-	self := s.mesh.Self()
-	return id == quota.HolderID{VM: self.VM, Incarnation: self.Incarnation}
+	return id == holderOf(s.mesh.Self())
 }
 
 // chooseArbiters returns holders that have asked lately: those chosen before,
--- a/plugin/quota/owners.go
+++ b/plugin/quota/owners.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/mesh"
 	"github.com/mangomast/mangomast/quota"
 )
@@ -45,22 +46,20 @@
 	at      time.Time
 }
 
+// holderOf names the holder of a node.
+func holderOf(node mesh.Identity) quota.HolderID {
+	return quota.HolderID{VM: node.VM, Incarnation: node.Incarnation}
+}
+
 // run takes up organisations as soon as their term is accepted, and drops
 // those that another node owns.
 func (s *owners) run(ctx context.Context) error {
-	ticker := s.clock.NewTicker(termInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.Chan():
-		}
+	return kernel.Every(ctx, s.clock, termInterval, func(context.Context) {
 		s.refresh()
 		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.closeOverdue()
-		s.mu.Unlock()
-	}
+	})
 }
 
 func (s *owners) refresh() {
@@ -94,8 +93,8 @@
 }
 
 // take begins a term once it has its predecessor's book or is accepted on every
-// node that may serve, and tells its owner when the proofs of earlier terms have run out. It returns
-// whether there is no more to do. The caller holds the mutex.
+// node that may serve, and tells its owner when the proofs of earlier terms have
+// run out. It returns whether there is no more to do. The caller holds the mutex.
 func (s *owners) take(snapshot *config.Snapshot, entry config.Owner) bool {
 	org := snapshot.Organisation(entry.Organisation)
 	if org == nil {
@@ -165,7 +164,7 @@
 func (s *owners) answer(from mesh.Identity, message askMessage) (answerMessage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	holder, ask := quota.HolderID{VM: from.VM, Incarnation: from.Incarnation}, message.Ask
+	holder, ask := holderOf(from), message.Ask
 	s.askers[holder] = asker{identity: from, address: message.Address, at: s.clock.Now()}
 	owner, ok := s.owner(ask.Organisation)
 	if !ok {
