Renumber the review's cases and leave the crashing request out

Cause: a review has five cases at most.

The script's part for the crashing request stays in review/testdata/rig as the case "fatal".

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 for program in target/mangomast-sidecar target/review/rig; do
   [ -x "$program" ] || { echo "$program is missing; run the build of the deploy file and review/build.sh"; exit 2; }
 done
-exec target/review/rig --case fatal --record review/3/record.txt
+exec target/review/rig --case idle-watch --record review/3/record.txt
