Show requests of a public route that are cut at the end of a planned stop

Cause: a stopping node refuses late requests only if they come with a key. It takes the others until it ends, and passes them on.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 for program in target/mangomast-sidecar target/review/rig; do
   [ -x "$program" ] || { echo "$program is missing; run the build of the deploy file and review/build.sh"; exit 2; }
 done
-exec target/review/rig --case departure --record review/5/record.txt
+exec target/review/rig --case open-route --record review/5/record.txt
--- a/review/testdata/rig/cases.go
+++ b/review/testdata/rig/cases.go
@@ -379,25 +379,34 @@
 		}
 	}
 	time.Sleep(time.Until(terminated.Add(planned)))
-	reached := map[string]bool{}
-	results := t.stop()
+	return f.judgeStop(t.stop(), terminated, work), nil
+}
+
+// judgeStop checks what became of the requests that a node took after its SIGTERM;
+// servers work on each for the given time.
+func (f *fleet) judgeStop(results []result, terminated time.Time, work time.Duration) bool {
+	begun := map[string]time.Time{}
 	for _, a := range f.arrivals() {
-		reached[a.id] = true
+		if a.ran {
+			begun[a.id] = a.at
+		}
 	}
-	lost := 0
+	cut, replaced := 0, 0
 	for _, r := range results {
-		if r.refusedConn || r.whole || !reached[r.id] || r.sent.Before(terminated) {
-			continue
-		}
 		after, ended := r.sent.Sub(terminated), r.ended.Sub(terminated)
-		if after <= mayOutlast && ended >= lastSixth {
-			continue
+		atWork := !begun[r.id].IsZero() && r.ended.Before(begun[r.id].Add(work))
+		switch {
+		case r.refusedConn || r.sent.Before(terminated) || !atWork || (after <= mayOutlast && ended >= lastSixth):
+		case !r.whole:
+			cut++
+			f.rec.note("LOST: request %s, sent %.2f s after the SIGTERM, ended %.2f s after it without an answer (%s), with a server at work on it", r.id, after.Seconds(), ended.Seconds(), r.failure)
+		case !r.signed:
+			replaced++
+			f.rec.note("LOST: request %s, sent %.2f s after the SIGTERM, was given up %.2f s after it with a %d of the node's own, with a server at work on it", r.id, after.Seconds(), ended.Seconds(), r.status)
 		}
-		lost++
-		f.rec.note("LOST: request %s, sent %.2f s after the SIGTERM and passed on to a server, ended %.2f s after it without an answer (%s)", r.id, after.Seconds(), ended.Seconds(), r.failure)
 	}
-	f.rec.note("%d requests, %d lost", len(results), lost)
-	return lost == 0, nil
+	f.rec.note("%d requests, %d cut without an answer, %d given up", len(results), cut, replaced)
+	return cut == 0 && replaced == 0
 }
 
 // playFatal has a client send a request again and again that crashes the servers
--- a/review/testdata/rig/client.go
+++ b/review/testdata/rig/client.go
@@ -25,8 +25,8 @@
 	ended   time.Time
 	status  int
 	failure string
-	// whole is true if a complete answer arrived.
-	whole bool
+	// whole is true if a complete answer arrived, and signed if it is a server's.
+	whole, signed bool
 	// refusedConn is true if no connection could be made.
 	refusedConn bool
 }
@@ -72,7 +72,7 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	r.status = resp.StatusCode
+	r.status, r.signed = resp.StatusCode, resp.Header.Get(names.Signature) != ""
 	if _, err := io.ReadAll(resp.Body); err != nil {
 		return err
 	}
