Keep a draining node running at SIGHUP

Cause: the goroutine that handles SIGHUP ended at the SIGTERM and unregistered its handler, so that the next SIGHUP had its default action: it ended the process.

Change: SIGHUP is caught from before the settings are read until the process ends. The same cause on a related path: a write to a log whose reader is gone raises SIGPIPE, which ended the node; it is ignored now.

--- a/node/main.go
+++ b/node/main.go
@@ -57,6 +57,7 @@
 	if opts.Settings == "" {
 		return errors.New("no settings: run with --settings FILE, or --help for more")
 	}
+	hangups := keepRunningOnSignals()
 	nodeSettings, err := load(opts.Settings)
 	if err != nil {
 		return err
@@ -68,7 +69,7 @@
 	writer := newLogWriter(logs)
 	defer writer.close()
 	logger := newLogger(nodeSettings, writer)
-	go recheckOnHangup(ctx, opts.Settings, logger)
+	go recheckOnHangup(hangups, opts.Settings, logger)
 	return run(ctx, nodeSettings, logger)
 }
 
@@ -84,20 +85,23 @@
 	return nodeSettings, findings.Err()
 }
 
+// keepRunningOnSignals replaces the default action of SIGHUP and SIGPIPE, which
+// would end the process, and returns the channel of hangups. It is never undone: a
+// node that drains must finish its requests too. SIGPIPE is raised when the reader
+// of the log goes away.
+func keepRunningOnSignals() <-chan os.Signal {
+	signal.Ignore(syscall.SIGPIPE)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // recheckOnHangup validates the settings file at each SIGHUP without applying
 // it. Addresses and names are fixed for the lifetime of the process, so changes
 // take effect at the next start. An invalid file is logged, so that it can be
 // corrected before then.
-func recheckOnHangup(ctx context.Context, file string, logger log.Interface) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-		}
+func recheckOnHangup(hangups <-chan os.Signal, file string, logger log.Interface) {
+	for range hangups {
 		if _, err := load(file); err != nil {
 			logger.WithError(err).Error("settings file is invalid; continuing with the settings loaded at start")
 			continue
