Acknowledge an upstream's departure once it outlives the node

The node was stopping when the notice came, and a heartbeat from before the notice arrived at its next process.

Cause: a stopping node announced no departure and had revoked the lease of its entry, so the notice was in its memory only, and was acknowledged all the same. Related: a notice was acknowledged before anything else had it, or though nothing could have it; an announcement during a stop could turn an entry from gone to ready.

Change: a departure has a key and a lease of its own in the store. It is acknowledged once the store or, if that does not confirm in time, another node has it, and answered 503 otherwise. A starting node reads its departures with a linearizable read. An entry that is gone stays gone.

TestDeparturesMatchLaterAnnouncements added one departure 16 times to reach the bound; a repeated notice is one departure now, so it adds 32 different ones and checks both lists against the bound.

--- a/plugin/guard/departures.go
+++ b/plugin/guard/departures.go
@@ -15,17 +15,32 @@
 // the notice may arrive seconds after it.
 type departures struct {
 	incarnations []membership.Departure
+	// kept are the departures that outlive this process.
+	kept []membership.Departure
 }
 
-func (d *departures) add(departed membership.Departure) {
+// add records a departure and reports whether it was unknown.
+func (d *departures) add(departed membership.Departure) bool {
+	if slices.Contains(d.incarnations, departed) {
+		return false
+	}
 	d.incarnations = append(d.incarnations, departed)
 	if len(d.incarnations) > maxDepartures {
 		d.incarnations = d.incarnations[1:]
 	}
+	return true
+}
+
+// markKept records that the departure outlives this process.
+func (d *departures) markKept(departed membership.Departure) {
+	d.kept = append(d.kept, departed)
+	if len(d.kept) > maxDepartures {
+		d.kept = d.kept[1:]
+	}
 }
 
-func (d *departures) contains(departed membership.Departure) bool {
-	return slices.Contains(d.incarnations, departed)
+func (d *departures) isKept(departed membership.Departure) bool {
+	return slices.Contains(d.kept, departed)
 }
 
 // has reports whether the announcement is from a departed incarnation. An
--- a/plugin/guard/departures_test.go
+++ b/plugin/guard/departures_test.go
@@ -19,8 +19,14 @@
 	assert.Assert(t, !d.has(&Announcement{Instance: "i-2", Born: 1000}))
 	d.add(membership.Departure{Instance: "i-3"})
 	assert.Assert(t, d.has(&Announcement{Instance: "i-3", Born: 5}))
-	for range maxDepartures {
-		d.add(membership.Departure{Instance: "i-4", Born: 1})
+	for i := range 2 * maxDepartures {
+		departed := membership.Departure{Instance: "i-4", Born: int64(i)}
+		assert.Assert(t, d.add(departed))
+		assert.Assert(t, !d.add(departed), "a notice that is sent again")
+		assert.Assert(t, !d.isKept(departed))
+		d.markKept(departed)
+		assert.Assert(t, d.isKept(departed))
 	}
 	assert.Equal(t, len(d.incarnations), maxDepartures)
+	assert.Equal(t, len(d.kept), maxDepartures)
 }
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -137,7 +137,7 @@
 		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout,
 		MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
-	m.roster.OnPredecessor(m.inheritDeparture)
+	m.roster.OnDeparture(m.inheritDeparture)
 	fabric.Handle(mesh.KindCall, meshcall.Handler(m.log, m.Serve))
 	kernel.Provide(ctx, m)
 	return nil
--- a/plugin/guard/upstream.go
+++ b/plugin/guard/upstream.go
@@ -15,9 +15,14 @@
 // upstream is marked absent. Announcements may arrive seconds late.
 const maxMissedAnnouncements = 4
 
-// ErrOldAnnouncement is returned for an announcement that is not newer than the
-// last accepted one.
-var ErrOldAnnouncement = errors.New("announcement is not newer than the last accepted one")
+var (
+	// ErrOldAnnouncement is returned for an announcement that is not newer than the
+	// last accepted one.
+	ErrOldAnnouncement = errors.New("announcement is not newer than the last accepted one")
+	// ErrDepartureNotKept is returned for a notice of leaving that would be
+	// forgotten if this node ended now. The upstream should send it again.
+	ErrDepartureNotKept = errors.New("departure of the upstream is known to this process only")
+)
 
 // Announcement is the heartbeat of an upstream.
 type Announcement struct {
@@ -33,6 +38,10 @@
 	Leaving bool
 }
 
+func (a *Announcement) departure() membership.Departure {
+	return membership.Departure{Instance: a.Instance, Born: a.Born}
+}
+
 // outdatedBy reports whether a must not replace b: it is from an upstream that
 // started earlier, or is not a later announcement of the same incarnation.
 func (a *Announcement) outdatedBy(b *Announcement) bool {
@@ -44,13 +53,28 @@
 
 // HandleAnnouncement handles an announcement of the local upstream. It returns
 // ErrOldAnnouncement if the announcement is not newer than the last accepted
-// one. While the node starts it blocks, for about a second at most.
-func (m *Module) HandleAnnouncement(a Announcement) error {
+// one, and ErrDepartureNotKept like HandleLeaveNotice if it says that the upstream
+// leaves. While the node starts it blocks, for about a second at most.
+func (m *Module) HandleAnnouncement(ctx context.Context, a Announcement) error {
 	// A node that has just started does not know yet whether its predecessor got
 	// a notice of leaving from this upstream.
 	<-m.roster.Synced()
+	err := m.applyAnnouncement(a)
+	if !a.Leaving {
+		return err
+	}
+	if keepErr := m.keepDeparture(ctx, a.departure()); keepErr != nil {
+		return keepErr
+	}
+	return err
+}
+
+func (m *Module) applyAnnouncement(a Announcement) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if a.Leaving {
+		m.departures.add(a.departure())
+	}
 	if m.upstream.Instance != "" && a.outdatedBy(&m.upstream) {
 		return ErrOldAnnouncement
 	}
@@ -72,34 +96,52 @@
 
 // HandleLeaveNotice handles the notice that an upstream incarnation leaves and
 // will not return. born is its start time in Unix milliseconds, or 0 if unknown.
-func (m *Module) HandleLeaveNotice(instance string, born int64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.log.WithFields(log.Fields{"instance": instance, "born": born}).Info("upstream gave notice of leaving; its incarnation gets no new requests")
-	m.recordDeparture(membership.Departure{Instance: instance, Born: born}, "notice of leaving")
+// The incarnation gets no new requests from now on. It blocks, for less than a
+// second, until the departure outlives this process, and returns
+// ErrDepartureNotKept if that fails.
+func (m *Module) HandleLeaveNotice(ctx context.Context, instance string, born int64) error {
+	departed := membership.Departure{Instance: instance, Born: born}
+	m.recordDeparture(departed, "notice of leaving")
+	return m.keepDeparture(ctx, departed)
 }
 
-// inheritDeparture takes over the departure that an earlier incarnation of this
-// node recorded, and the upstream may no longer report.
-func (m *Module) inheritDeparture(predecessor membership.Entry) {
-	departed := predecessor.Departed
-	if departed.Instance == "" {
-		return
+// keepDeparture makes sure that the departure outlives this process, which may be
+// restarted while the upstream still serves and its earlier announcements are on
+// their way.
+func (m *Module) keepDeparture(ctx context.Context, departed membership.Departure) error {
+	m.mu.Lock()
+	kept := m.departures.isKept(departed)
+	m.mu.Unlock()
+	if kept {
+		return nil
+	}
+	if err := m.roster.KeepDeparture(ctx, departed); err != nil {
+		m.log.WithError(err).WithFields(log.Fields{"instance": departed.Instance, "born": departed.Born}).
+			Warn("the departure of the upstream is known to this process only; its notice is not acknowledged")
+		return ErrDepartureNotKept
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.departures.contains(departed) {
-		return
-	}
-	m.log.WithFields(log.Fields{"instance": departed.Instance, "born": departed.Born, "incarnation": predecessor.Incarnation}).
-		Info("upstream gave notice of leaving to an earlier incarnation of this node; it gets no new requests")
-	m.recordDeparture(departed, "notice of leaving to an earlier incarnation")
+	m.departures.markKept(departed)
+	return nil
+}
+
+// inheritDeparture takes over a departure that an earlier incarnation of this node
+// recorded, and the upstream may no longer report.
+func (m *Module) inheritDeparture(departed membership.Departure) {
+	m.recordDeparture(departed, "notice of leaving to an earlier incarnation of this node")
 }
 
 // recordDeparture records a departure and announces it, unless the upstream is
-// known to leave already. The caller holds m.mu.
+// known to leave already.
 func (m *Module) recordDeparture(departed membership.Departure, reason string) {
-	m.departures.add(departed)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.departures.add(departed) {
+		return
+	}
+	m.log.WithFields(log.Fields{"instance": departed.Instance, "born": departed.Born, "reason": reason}).
+		Info("upstream leaves; its incarnation gets no new requests")
 	switch {
 	case m.upstream.Instance != departed.Instance || !m.departures.has(&m.upstream):
 		m.roster.Announce(func(e *membership.Entry) { e.Departed = departed })
@@ -118,8 +160,8 @@
 	}
 }
 
-// setState changes the upstream's state and announces it to the other nodes,
-// unless this node is leaving. The caller holds m.mu.
+// setState changes the upstream's state and announces it to the other nodes. The
+// caller holds m.mu.
 func (m *Module) setState(state membership.State, reason string) {
 	current := m.roster.Self()
 	if m.state == state && current.Service == m.upstream.Service && current.Slots == m.upstream.Slots {
@@ -130,14 +172,11 @@
 		"slots": m.upstream.Slots, "former": m.state.String(), "state": state.String(), "reason": reason,
 	}).Info("local upstream changed state")
 	m.state = state
-	if m.leaving.Load() {
-		return
-	}
 	upstream := m.upstream
 	m.roster.Announce(func(e *membership.Entry) {
 		e.Service, e.Slots, e.State = upstream.Service, upstream.Slots, state
 		if state == membership.Leaving {
-			e.Departed = membership.Departure{Instance: upstream.Instance, Born: upstream.Born}
+			e.Departed = upstream.departure()
 		}
 	})
 }
--- a/plugin/roster/gossip.go
+++ b/plugin/roster/gossip.go
@@ -122,10 +122,11 @@
 // them.
 func (m *Module) exchange(peer membership.Entry) { m.send(peer, false) }
 
-// announceTo sends this node's entry to the peer.
-func (m *Module) announceTo(peer membership.Entry) { m.send(peer, true) }
+// announceTo sends this node's entry to the peer and reports whether the peer has
+// confirmed it.
+func (m *Module) announceTo(peer membership.Entry) bool { return m.send(peer, true) }
 
-func (m *Module) send(peer membership.Entry, announcement bool) {
+func (m *Module) send(peer membership.Entry, announcement bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
 	var got answer
@@ -133,7 +134,7 @@
 	if err != nil {
 		m.metrics.exchanges.WithLabelValues("failed").Inc()
 		m.log.WithError(err).WithField("peer", peer.VM).Debug("exchange with peer failed")
-		return
+		return false
 	}
 	m.metrics.exchanges.WithLabelValues("ok").Inc()
 	m.mergeEntries(got.Self, got.Watches, got.Entries)
@@ -143,7 +144,8 @@
 	if got.Predecessor != nil {
 		m.handlePredecessor(*got.Predecessor)
 	}
-	m.markSynced("exchange with " + peer.VM)
+	m.markPeersAnswered()
+	return true
 }
 
 // digestFor returns the request of an exchange with the VM.
--- a/plugin/roster/roster.go
+++ b/plugin/roster/roster.go
@@ -97,18 +97,24 @@
 	// Gossip is the time between two exchanges with another node.
 	Gossip jsonc.Duration `json:"gossip"`
 
-	clock   clockwork.Clock
-	log     log.Interface
-	mesh    *mesh.Mesh
-	store   store.Store
-	prefix  string
-	metrics *metrics
-	view    atomic.Pointer[membership.View]
-	loaded  atomic.Bool
+	clock clockwork.Clock
+	log   log.Interface
+	mesh  *mesh.Mesh
+	store store.Store
+	// storePrefix is the prefix of all keys of the fleet, and prefix that of its
+	// nodes' entries.
+	storePrefix string
+	prefix      string
+	metrics     *metrics
+	view        atomic.Pointer[membership.View]
+	loaded      atomic.Bool
 	// synced is closed once this node has learned what the fleet knows of its
-	// predecessor, or has waited syncTimeout for it.
-	synced     chan struct{}
-	syncedOnce sync.Once
+	// predecessor, or has waited syncTimeout for it. The fleet's knowledge is that
+	// of other nodes and of the store.
+	synced         chan struct{}
+	peersAnswered  chan struct{}
+	peersOnce      sync.Once
+	departuresRead chan struct{}
 	// storeUnavailable is true if the last call to the store failed.
 	storeUnavailable atomic.Bool
 	// invalidRecords has the revisions of the store's invalid records that were
@@ -126,7 +132,7 @@
 	lease                store.LeaseID
 	entryHandlers        []func(membership.Entry)
 	storeTimeoutHandlers []func()
-	predecessorHandlers  []func(membership.Entry)
+	departureHandlers    []func(membership.Departure)
 	watchAssignment      membership.WatchAssignment
 	// watching is true while this node has a working watch of the configuration.
 	watching bool
@@ -165,11 +171,12 @@
 		return err
 	}
 	m.clock, m.log = ctx.LeaseClock, ctx.Log
-	m.prefix = ctx.Node.Store.Prefix + "roster/"
+	m.storePrefix = ctx.Node.Store.Prefix
+	m.prefix = m.storePrefix + "roster/"
 	m.metrics = newMetrics(ctx.Registry)
 	m.dirty = make(chan struct{}, 1)
 	m.invalidRecords = map[string]int64{}
-	m.synced = make(chan struct{})
+	m.synced, m.peersAnswered, m.departuresRead = make(chan struct{}), make(chan struct{}), make(chan struct{})
 	m.known, m.domainAskedAt = map[string]position{}, map[string]time.Time{}
 	m.watchAssignment = membership.WatchAssignment{Life: watchReportTTL}
 	m.roster = membership.NewRoster(membership.RosterOptions{MissingAfter: missingAfter, ForgetAfter: forgetAfter})
@@ -189,6 +196,7 @@
 		{Name: "hold lease", Run: m.maintainLease},
 		{Name: "list", Run: m.list},
 		{Name: "gossip", Run: m.gossip},
+		{Name: "read departures", Run: m.readDepartures},
 		{Name: "sync", Run: m.awaitSync},
 	}
 }
@@ -229,47 +237,47 @@
 
 // Synced returns a channel that is closed once this node has learned what the
 // fleet knows of the VM's previous node, or has waited for it long enough.
-// Handlers of OnPredecessor have been called before.
+// Handlers of OnDeparture have been called before.
 func (m *Module) Synced() <-chan struct{} { return m.synced }
 
-// OnPredecessor registers a function that is called with the entry of an earlier
-// incarnation of this node. It must be called before the node starts; the
-// function must not block.
-func (m *Module) OnPredecessor(f func(membership.Entry)) {
-	m.predecessorHandlers = append(m.predecessorHandlers, f)
-}
-
 func (m *Module) handlePredecessor(entry membership.Entry) {
 	if self := m.Self(); entry.VM != self.VM || entry.Incarnation >= self.Incarnation || entry.Validate(m.clock.Now()) != nil {
 		return
 	}
-	for _, f := range m.predecessorHandlers {
-		f(entry)
-	}
+	m.handleDeparture(entry.Departed)
 }
 
-func (m *Module) markSynced(reason string) {
-	m.syncedOnce.Do(func() {
-		m.log.WithField("reason", reason).Info("synchronized with the fleet")
-		close(m.synced)
-	})
-}
+// markPeersAnswered records that a node has told what it knows of this node's
+// predecessor, or that there is no other node.
+func (m *Module) markPeersAnswered() { m.peersOnce.Do(func() { close(m.peersAnswered) }) }
 
-// awaitSync ends the wait for the fleet's knowledge after syncTimeout.
+// awaitSync waits for the fleet's knowledge, for syncTimeout at most.
 func (m *Module) awaitSync(ctx context.Context) error {
-	if err := kernel.Sleep(ctx, m.clock, syncTimeout); err != nil {
-		return err
-	}
-	m.markSynced("timeout")
+	timeout, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	complete := waitFor(timeout, m.peersAnswered) && waitFor(timeout, m.departuresRead)
+	m.log.WithField("complete", complete).Info("synchronized with the fleet")
+	close(m.synced)
 	<-ctx.Done()
 	return ctx.Err()
 }
 
+// waitFor waits until the channel is closed and reports whether that came before
+// the end of the context.
+func waitFor(ctx context.Context, closed <-chan struct{}) bool {
+	select {
+	case <-closed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // startSync asks some nodes for what they know of this node's predecessor.
 func (m *Module) startSync() {
 	peers := m.correspondents()
 	if len(peers) == 0 {
-		m.markSynced("no other nodes")
+		m.markPeersAnswered()
 		return
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
@@ -279,10 +287,15 @@
 }
 
 // Announce implements membership.Announcer. The changed entry is written to the
-// store and sent to the correspondents immediately.
+// store and sent to the correspondents immediately. A node that has left stays
+// gone, whatever its upstream does meanwhile.
 func (m *Module) Announce(change func(*membership.Entry)) {
 	m.mu.Lock()
+	gone := m.self.State == membership.Gone
 	change(&m.self)
+	if gone {
+		m.self.State = membership.Gone
+	}
 	m.self.Version++
 	self := m.self
 	m.roster.Observe(self, m.clock.Now())
