Refuse late requests without a key at a stopping node

Cause: only requests with a key were refused after the grace for callers. Those without one were taken for calls of the local upstream.

Change: stopPolicy decides what a stopping node takes. A request without a key counts as a call only if it has the deadline of a request that runs on the local upstream. Related: the decision is repeated once a slow body has arrived, calls are refused in the last second of the drain, and the grace is half of the time for draining at most.

--- a/kernel/context.go
+++ b/kernel/context.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
@@ -26,6 +27,11 @@
 	services map[reflect.Type]any
 }
 
+// DrainTime returns how long the modules may drain in a planned stop.
+func (c *Context) DrainTime() time.Duration {
+	return time.Duration(drainGraceFraction * float64(c.Node.Grace))
+}
+
 // Provide registers a service under the interface or pointer type T, for
 // modules that are provisioned later.
 func Provide[T any](ctx *Context, service T) {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"reflect"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
@@ -173,7 +172,7 @@
 // drain calls Leave on all modules in the order of provisioning, then Drain in
 // the reverse order.
 func (k *Kernel) drain() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(drainGraceFraction*float64(k.context.Node.Grace)))
+	ctx, cancel := context.WithTimeout(context.Background(), k.context.DrainTime())
 	defer cancel()
 	for _, m := range k.modules {
 		if l, ok := m.module.(Leaver); ok {
--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -39,17 +39,8 @@
 // ID is the module's ID.
 const ID kernel.ID = "entry"
 
-const (
-	// defaultLeaveGrace covers two readiness probes one second apart, after
-	// which callers use another node.
-	defaultLeaveGrace = 2500 * time.Millisecond
-	drainPollInterval = 20 * time.Millisecond
-	// notReadyRetryAfter is the Retry-After of a node without a configuration.
-	notReadyRetryAfter = 500 * time.Millisecond
-	// stoppingRetryAfter is the Retry-After of a stopping node. It is short
-	// because other nodes serve the caller at once.
-	stoppingRetryAfter = 50 * time.Millisecond
-)
+// notReadyRetryAfter is the Retry-After of a node without a configuration.
+const notReadyRetryAfter = 500 * time.Millisecond
 
 func init() {
 	kernel.Register(kernel.ModuleInfo{
@@ -68,8 +59,8 @@
 	// Service is the service of the VM. It becomes the origin of requests that
 	// enter here.
 	Service string `json:"service"`
-	// LeaveGrace is how long a stopping node still serves callers that have not
-	// noticed the stop.
+	// LeaveGrace is how long a stopping node still takes requests of callers that
+	// have not noticed the stop; half of the time for draining at most.
 	LeaveGrace jsonc.Duration `json:"leave_grace"`
 	// Retries limits the retries of requests.
 	Retries Retries `json:"retries"`
@@ -89,6 +80,7 @@
 	bodies        *httpcall.BodyReader
 	active        atomic.Int64
 	stoppingSince atomic.Pointer[time.Time]
+	stopPolicy    stopPolicy
 }
 
 var (
@@ -114,6 +106,7 @@
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
+	m.stopPolicy = newStopPolicy(m.LeaveGrace.Std(), ctx.DrainTime())
 	m.metrics = newMetrics(ctx.Registry)
 	m.retries = m.Retries.throttles(m.fleetIndex)
 	o := routing.DefaultOptions()
@@ -148,34 +141,6 @@
 	return m.stoppingSince.Load() == nil && m.config.Snapshot() != nil && m.members.Loaded()
 }
 
-// Leave implements kernel.Leaver.
-func (m *Module) Leave() {
-	now := m.clock.Now()
-	m.stoppingSince.Store(&now)
-	m.server.DisableKeepAlives()
-	m.log.WithField("active", m.active.Load()).Info("shutting down: not ready for new callers, closing keep-alive connections")
-}
-
-// graceExpired reports whether the grace period of a planned stop is over.
-// Requests with a key are refused from then on, because they might not finish
-// before the process exits. Calls of requests that still run on the local
-// upstream are served.
-func (m *Module) graceExpired() bool {
-	since := m.stoppingSince.Load()
-	return since != nil && m.clock.Since(*since) > m.LeaveGrace.Std()
-}
-
-// Drain implements kernel.Drainer. It serves callers that have not noticed the
-// stop until the grace period is over, and waits until no request is in flight.
-func (m *Module) Drain(ctx context.Context) error {
-	for !m.graceExpired() || m.active.Load() > 0 {
-		if err := kernel.Sleep(ctx, m.clock, drainPollInterval); err != nil {
-			return err
-		}
-	}
-	return m.server.Shutdown(ctx)
-}
-
 // request is the state of one request.
 type request struct {
 	started  time.Time
@@ -204,7 +169,7 @@
 // handle runs the checks and dispatches the request.
 func (m *Module) handle(c echo.Context, req *request) (*call.Reply, io.ReadCloser) {
 	r := c.Request()
-	for _, check := range []func(*http.Request, *request) *call.Reply{m.readCaller, m.matchRoute, m.authenticate, m.checkRate} {
+	for _, check := range []func(*http.Request, *request) *call.Reply{m.readCaller, m.refuseWhenStopping, m.readConfig, m.matchRoute, m.authenticate, m.checkRate} {
 		if refusal := check(r, req); refusal != nil {
 			return refusal, nil
 		}
@@ -214,6 +179,10 @@
 		return refusal, nil
 	}
 	defer release()
+	// A body may take seconds to arrive.
+	if refusal := m.refuseWhenStopping(r, req); refusal != nil {
+		return refusal, nil
+	}
 	m.fillHead(r, req)
 	return m.dispatch(r.Context(), req, body)
 }
@@ -257,18 +226,18 @@
 	return int64(size)
 }
 
-// readCaller reads the caller's data from the header and checks that the node
-// can serve it.
+// readCaller reads the caller's data from the header.
 func (m *Module) readCaller(r *http.Request, req *request) *call.Reply {
 	var err error
 	if req.caller, err = m.callers.Extract(r.Header); err != nil {
 		return call.Refuse(call.CodeBadRequest, err.Error())
 	}
-	if req.caller.HasKey && m.graceExpired() {
-		refusal := call.Refuse(call.CodeLeaving, "the node is stopping")
-		refusal.RetryAfter = stoppingRetryAfter
-		return refusal
-	}
+	return nil
+}
+
+// readConfig reads the configuration in force and checks the size of the header
+// against its limits.
+func (m *Module) readConfig(r *http.Request, req *request) *call.Reply {
 	req.snapshot = m.config.Snapshot()
 	if req.snapshot == nil {
 		refusal := call.Refuse(call.CodeStaleConfig, "the node has no configuration yet")
