Use a connection again only if its answer named the request

Cause: a decline has no request ID, was taken for the answer to whatever request waited, and left its connection open. A second copy of it arrived where the next answer was due. Related: http.Transport takes a connection back before its answer has been looked at, so closing it afterwards, as for an answer with another ID, could be too late.

Change: a pool in which a connection is idle only after its answer named the request and was read to its end (internal/connpool, over net/http's client connections). Whether a part of a request was sent is told from the bytes handed to the connection.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -57,8 +57,10 @@
 	// SetHeaders sets the headers that describe the request to the upstream;
 	// instance is the upstream incarnation that the request is sent to.
 	SetHeaders(header http.Header, head *call.Head, instance string)
-	// Classify classifies the upstream's response to the request.
-	Classify(head *call.Head, resp *http.Response) Verdict
+	// Classify classifies the upstream's response to the request. attributed is true
+	// if the response names the request. A response that does not may be a late copy
+	// of an earlier one, unless its connection has carried no other request since.
+	Classify(head *call.Head, resp *http.Response) (verdict Verdict, attributed bool)
 }
 
 // Documents locates and decodes the configuration in the store.
--- a/plugin/guard/forward.go
+++ b/plugin/guard/forward.go
@@ -6,16 +6,15 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
+	"sync"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/dialect"
-	"github.com/mangomast/mangomast/internal/httpcall"
+	"github.com/mangomast/mangomast/internal/connpool"
 )
 
 // attempt is one attempt to send a request to the upstream.
@@ -24,11 +23,8 @@
 	ctx      context.Context
 	upstream Announcement
 	head     *call.Head
-	// written is true once part of the request may have been sent. The
-	// transport's goroutine sets it.
-	written atomic.Bool
-	// conn is the connection that the request was last sent on.
-	conn atomic.Pointer[net.Conn]
+	// conn is the connection that the request is sent on; nil before it is dialed.
+	conn *connpool.Conn
 }
 
 // forward sends the request to the upstream and returns its reply.
@@ -36,21 +32,42 @@
 	outgoing := *head
 	outgoing.Timeout = m.deadline(ctx, head).Sub(m.clock.Now())
 	a := &attempt{Module: m, ctx: ctx, upstream: upstream, head: &outgoing}
-	req, err := a.buildRequest(body)
-	if err != nil {
+	if _, err := a.buildRequest(nil); err != nil {
 		return call.Refuse(call.CodeBadRequest, "the request cannot be built"), nil
 	}
 	started := m.clock.Now()
-	resp, err := m.transport.RoundTrip(req)
+	resp, err := a.roundTrip(body)
 	m.metrics.upstream.Observe(m.clock.Since(started).Seconds())
 	if err != nil {
 		return a.failureReply(err), nil
 	}
-	reply, answer := a.handleResponse(resp)
-	if answer == nil {
-		_ = resp.Body.Close()
+	return a.handleResponse(resp)
+}
+
+// roundTrip sends the request and returns the head of the response. A connection
+// that the upstream closed while it was idle, before any part of the request was
+// sent, is replaced.
+func (a *attempt) roundTrip(body []byte) (*http.Response, error) {
+	for {
+		conn, err := a.pool.Get(a.ctx, a.Address)
+		if err != nil {
+			return nil, err
+		}
+		a.conn = conn
+		req, err := a.buildRequest(body)
+		if err != nil {
+			conn.Close()
+			return nil, err
+		}
+		resp, err := conn.RoundTrip(req)
+		if err == nil {
+			return resp, nil
+		}
+		conn.Close()
+		if !conn.Reused() || conn.Written() || a.ctx.Err() != nil {
+			return nil, err
+		}
 	}
-	return reply, answer
 }
 
 func (a *attempt) buildRequest(body []byte) (*http.Request, error) {
@@ -59,11 +76,7 @@
 		return nil, err
 	}
 	target.Scheme, target.Host = "http", a.Address
-	trace := &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { a.conn.Store(&info.Conn) },
-		WroteHeaders: func() { a.written.Store(true) },
-	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(a.ctx, trace), a.head.Method, "http://"+a.Address, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(a.ctx, a.head.Method, "http://"+a.Address, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -73,43 +86,91 @@
 	if _, present := req.Header["User-Agent"]; !present {
 		req.Header["User-Agent"] = nil
 	}
-	httpcall.DisableRetry(req)
 	return req, nil
 }
 
 // handleResponse converts the upstream's response. A body shorter than
 // maxBufferedBytes is read completely; a longer one is streamed.
+//
+// The connection is used again only if the response names the request. A second
+// copy of a response without its ID, which may arrive later, could not be told from
+// the response to the next request.
 func (a *attempt) handleResponse(resp *http.Response) (*call.Reply, io.ReadCloser) {
-	switch a.dialect.Classify(a.head, resp) {
+	verdict, attributed := a.dialect.Classify(a.head, resp)
+	body := &answerBody{body: resp.Body, conn: a.conn, reusable: attributed && !resp.Close}
+	switch verdict {
 	case dialect.Declined:
+		body.discard()
 		return call.Refuse(call.CodeUpstreamFailed, "the upstream did not run the request"), nil
 	case dialect.Misdirected:
+		_ = body.Close()
 		a.markAbsent(a.upstream.Instance, "another upstream has the address")
 		return call.Refuse(call.CodeNoUpstream, "another upstream has the address"), nil
 	case dialect.MismatchedID:
 		a.logFailure("upstream response belongs to another request; closing its connection, the outcome is unknown", nil)
-		// The answer to this request may still arrive on the connection, where
-		// the next request would take it for its own.
-		a.closeConn()
+		_ = body.Close()
 		return call.UnknownOutcome(call.CodeUpstreamFailed, "the upstream answered another request"), nil
 	}
 	call.StripHeader(resp.Header)
 	reply := &call.Reply{Outcome: call.Answered, Status: resp.StatusCode, Header: call.HeaderFields(resp.Header), Length: resp.ContentLength}
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
 	if err != nil {
+		_ = body.Close()
 		return a.failureReply(err), nil
 	}
 	if len(buffered) < maxBufferedBytes {
 		if a.head.Method != http.MethodHead {
 			reply.Length = int64(len(buffered))
 		}
-		_ = resp.Body.Close()
+		_ = body.Close()
 		return reply, io.NopCloser(bytes.NewReader(buffered))
 	}
 	return reply, struct {
 		io.Reader
 		io.Closer
-	}{io.MultiReader(bytes.NewReader(buffered), resp.Body), resp.Body}
+	}{io.MultiReader(bytes.NewReader(buffered), body), body}
+}
+
+// maxDiscardedBytes bounds the body of a declined request that is read, so that its
+// connection can be used again.
+const maxDiscardedBytes = 4 << 10
+
+// answerBody is the body of a response. Close releases the connection if the body
+// was read to its end and the connection is reusable, and closes it otherwise.
+type answerBody struct {
+	body     io.ReadCloser
+	conn     *connpool.Conn
+	reusable bool
+	complete bool
+	closed   sync.Once
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	b.complete = b.complete || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	err := b.body.Close()
+	b.closed.Do(func() {
+		if b.reusable && b.complete {
+			b.conn.Release()
+		} else {
+			b.conn.Close()
+		}
+	})
+	return err
+}
+
+// discard reads a short body and closes it.
+func (b *answerBody) discard() {
+	if b.reusable {
+		_, _ = io.CopyN(io.Discard, b, maxDiscardedBytes)
+	}
+	_ = b.Close()
 }
 
 // failureReply converts an error of the connection to the upstream into a
@@ -127,25 +188,22 @@
 		code, message = call.CodeDeadline, "the deadline passed while the request ran"
 	case a.ctx.Err() != nil:
 		code, message = call.CodeCancelled, "the request was cancelled"
-	case !a.written.Load():
+	case !a.written():
 		return call.Refuse(call.CodeNoUpstream, "the upstream could not be reached")
 	}
-	if !a.written.Load() {
+	if !a.written() {
 		return call.Refuse(code, message)
 	}
 	return call.UnknownOutcome(code, message)
 }
 
-func (a *attempt) closeConn() {
-	if conn := a.conn.Load(); conn != nil {
-		_ = (*conn).Close()
-	}
-}
+// written reports whether a part of the request may have been sent.
+func (a *attempt) written() bool { return a.conn != nil && a.conn.Written() }
 
 func (a *attempt) logFailure(message string, err error) {
 	entry := a.log.WithFields(log.Fields{
 		"request_id": a.head.ID, "route": a.head.Route, "attempt": a.head.Attempt,
-		"instance": a.upstream.Instance, "announced": a.upstream.Sequence, "written": a.written.Load(),
+		"instance": a.upstream.Instance, "announced": a.upstream.Sequence, "written": a.written(),
 	})
 	if err != nil {
 		entry = entry.WithField("error", err.Error())
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -7,7 +7,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/dialect"
 	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/internal/connpool"
 	"github.com/mangomast/mangomast/internal/meshcall"
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
@@ -75,17 +75,17 @@
 	// is longer, they may wait for that time instead.
 	MaxWait jsonc.Duration `json:"max_wait"`
 
-	clock     clockwork.Clock
-	log       log.Interface
-	roster    *roster.Module
-	dialect   dialect.Upstreams
-	metrics   *metrics
-	transport *http.Transport
-	fanout    *retry.Fanout
-	lineage   lineage.Table
-	runs      atomic.Int64
-	active    atomic.Int64
-	leaving   atomic.Bool
+	clock   clockwork.Clock
+	log     log.Interface
+	roster  *roster.Module
+	dialect dialect.Upstreams
+	metrics *metrics
+	pool    *connpool.Pool
+	fanout  *retry.Fanout
+	lineage lineage.Table
+	runs    atomic.Int64
+	active  atomic.Int64
+	leaving atomic.Bool
 
 	mu               sync.Mutex
 	upstream         Announcement
@@ -132,11 +132,9 @@
 	m.metrics = newMetrics(ctx.Registry, m.load)
 	m.gate = newGate(m, 1)
 	m.fanout = retry.NewFanout()
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	m.transport = &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout,
-		MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	m.pool = connpool.New(connpool.Options{
+		DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdleConnections, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	})
 	m.roster.OnDeparture(m.inheritDeparture)
 	fabric.Handle(mesh.KindCall, meshcall.Handler(m.log, m.Serve))
 	kernel.Provide(ctx, m)
--- a/plugin/guard/upstream.go
+++ b/plugin/guard/upstream.go
@@ -83,7 +83,7 @@
 	sameIncarnation := previous.Instance == a.Instance && previous.Born == a.Born
 	if !sameIncarnation || previous.Slots != a.Slots {
 		m.gate = newGate(m, a.Slots)
-		m.transport.CloseIdleConnections()
+		m.pool.CloseIdle()
 	}
 	state := membership.Ready
 	if a.Leaving || m.departures.has(&a) || (sameIncarnation && m.state == membership.Leaving) {
