Bound the memory of all answers together

Other operators saw: a faulty server sent bytes without end, the machine that had called it ran out of memory, and other clients' requests ended with it.

Cause: each answer was bounded, their sum was not. The guard read up to 256 KiB of each ahead, and the caller's node granted each a window of 512 KiB, read or not.

Change: 16 MiB for what the guard reads ahead of all answers and 16 MiB for the windows of the answers that a node receives. Without free memory an answer is forwarded as it comes, or has a window of 32 KiB.

TestUnreadAnswersAreBounded holds the windows to the budget.

--- a/internal/bodymemory/bodymemory.go
+++ b/internal/bodymemory/bodymemory.go
@@ -12,8 +12,12 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// growBytes is the first reservation for a body of unknown length.
-const growBytes = 64 << 10
+const (
+	// growBytes is the first reservation for a body of unknown length.
+	growBytes = 64 << 10
+	// readAheadBytes is the first reservation of ReadAhead. Most answers fit into it.
+	readAheadBytes = 8 << 10
+)
 
 // ErrTooLarge means that a body is longer than its limit.
 var ErrTooLarge = errors.New("body is longer than its limit")
@@ -50,6 +54,45 @@
 	return r, nil
 }
 
+// TryReserve reserves n bytes, or returns nil if they are not free. It does not
+// block.
+func (b *Budget) TryReserve(n int64) *Reservation {
+	if !b.semaphore.TryAcquire(n) {
+		return nil
+	}
+	return &Reservation{budget: b, bytes: n}
+}
+
+// ReadAhead reads a body until it ends, limit bytes have been read, or no more
+// memory is free for it, for which it does not wait. complete is true if the body
+// has ended. The caller releases the reservation once the data is no longer used,
+// also after an error.
+func (b *Budget) ReadAhead(body io.Reader, limit int) (data []byte, complete bool, r *Reservation, err error) {
+	r = &Reservation{budget: b}
+	for len(data) < limit {
+		if len(data) == cap(data) {
+			size := min(max(readAheadBytes, 2*cap(data)), limit)
+			// Both buffers are in use while the data is copied.
+			if !b.semaphore.TryAcquire(int64(size)) {
+				return data, false, r, nil
+			}
+			former := r.bytes
+			r.bytes += int64(size)
+			data = append(make([]byte, 0, size), data...)
+			r.Shrink(r.bytes - former)
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			return data, true, r, nil
+		}
+		if err != nil {
+			return data, false, r, err
+		}
+	}
+	return data, false, r, nil
+}
+
 // grow raises the reservation to n bytes; it blocks like Reserve.
 func (r *Reservation) grow(ctx context.Context, n int64) error {
 	n = min(n, r.budget.bytes)
--- a/internal/bodymemory/bodymemory_test.go
+++ b/internal/bodymemory/bodymemory_test.go
@@ -98,3 +98,46 @@
 
 // Read implements io.Reader.
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// TestReadAheadTakesWhatThereIsMemoryFor reads bodies that fit into the limit and the
+// budget, and others that do not. It must keep their first bytes in order and reserve
+// no more than the budget.
+func TestReadAheadTakesWhatThereIsMemoryFor(t *testing.T) {
+	const limit = 64 << 10
+	for _, c := range []struct {
+		budget   int64
+		size     int
+		complete bool
+	}{
+		{1 << 20, 0, true},
+		{1 << 20, 1, true},
+		{1 << 20, readAheadBytes, true},
+		{1 << 20, limit - 1, true},
+		{1 << 20, limit, false},
+		{1 << 20, limit + 1, false},
+		{readAheadBytes, readAheadBytes - 1, true},
+		{readAheadBytes, limit, false},
+		{2*readAheadBytes + 1, limit, false},
+		{1, 100, false},
+	} {
+		want := make([]byte, c.size)
+		for i := range want {
+			want[i] = byte(i)
+		}
+		b := NewBudget(c.budget, wait)
+		body := bytes.NewReader(want)
+		got, complete, reservation, err := b.ReadAhead(iotest.HalfReader(body), limit)
+		assert.NilError(t, err)
+		assert.Equal(t, complete, c.complete, "%+v", c)
+		assert.Assert(t, bytes.Equal(got, want[:len(got)]), "%+v", c)
+		assert.Equal(t, len(got)+body.Len(), c.size, "bytes were read and not returned: %+v", c)
+		assert.Assert(t, reservation.bytes >= int64(len(got)) && reservation.bytes <= c.budget, "%+v", c)
+		reservation.Release()
+		assert.Assert(t, b.TryReserve(c.budget) != nil, "memory was not released: %+v", c)
+	}
+	b := NewBudget(1<<20, wait)
+	_, complete, reservation, err := b.ReadAhead(io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF)), limit)
+	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF) && !complete)
+	reservation.Release()
+	assert.Assert(t, b.TryReserve(1<<20) != nil)
+}
--- a/mesh/body.go
+++ b/mesh/body.go
@@ -25,14 +25,16 @@
 	consumed int
 	hash     *xxh3.Hasher
 	err      error
+	// window is the credit that the sender has at most.
+	window int
 	// grant sends credit for n bytes to the sender; cancel tells the sender to
 	// stop.
 	grant  func(n int)
 	cancel func()
 }
 
-func newBodyReceiver(first []byte, grant func(int), cancel func()) *bodyReceiver {
-	b := &bodyReceiver{hash: xxh3.New(), grant: grant, cancel: cancel}
+func newBodyReceiver(first []byte, window int, grant func(int), cancel func()) *bodyReceiver {
+	b := &bodyReceiver{hash: xxh3.New(), window: window, grant: grant, cancel: cancel}
 	b.changed.L = &b.mu
 	if len(first) > 0 {
 		b.parts = append(b.parts, first)
@@ -52,7 +54,7 @@
 	b.parts = append(b.parts, data)
 	b.buffered += len(data)
 	switch {
-	case b.buffered > windowBytes+chunkBytes:
+	case b.buffered > b.window+chunkBytes:
 		b.err = errors.Wrap(ErrIncompleteBody, "sender exceeded its credit")
 	case end && b.hash.Sum64() != sum:
 		b.err = errors.Wrap(ErrIncompleteBody, "checksum mismatch")
@@ -107,7 +109,7 @@
 	n = min(n, b.buffered)
 	b.buffered -= n
 	b.consumed += n
-	if b.err != nil || b.consumed < windowBytes/4 {
+	if b.err != nil || b.consumed < b.window/4 {
 		return 0
 	}
 	credit := b.consumed
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -114,6 +114,11 @@
 	bodyMemoryWait = 200 * time.Millisecond
 	// windowBytes is the flow control window of a chunked body.
 	windowBytes = 512 << 10
+	// answerMemoryBytes bounds the windows of the chunked answers that a node
+	// receives at once, so that callers which do not read cannot exhaust its memory.
+	// Answers that come while it is used up have windows of minWindowBytes.
+	answerMemoryBytes = 16 << 20
+	minWindowBytes    = 32 << 10
 )
 
 type frameType uint8
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/zeebo/xxh3"
+
+	"github.com/mangomast/mangomast/internal/bodymemory"
 )
 
 // link is the set of connections between a dialing and an accepting node. If
@@ -47,6 +49,33 @@
 	credits  *credits
 	ctx      context.Context
 	cancel   context.CancelFunc
+
+	mu sync.Mutex
+	// window is the memory for the window of the answer; nil if it has none.
+	window *bodymemory.Reservation
+}
+
+// reserveWindow reserves memory for the window of an answer and returns the
+// window's size.
+func (s *stream) reserveWindow(memory *bodymemory.Budget) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for window := windowBytes; window > minWindowBytes && s.ctx.Err() == nil; window /= 2 {
+		if s.window = memory.TryReserve(int64(window)); s.window != nil {
+			return window
+		}
+	}
+	return minWindowBytes
+}
+
+// releaseWindow releases the memory for the window. The stream's context must have
+// ended.
+func (s *stream) releaseWindow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.window != nil {
+		s.window.Release()
+	}
 }
 
 func newLink(m *Mesh, dialer bool, onClose func()) *link {
@@ -144,6 +173,7 @@
 
 func (l *link) closeStream(s *stream) {
 	s.cancel()
+	s.releaseWindow()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.streams, s.id)
@@ -195,8 +225,10 @@
 }
 
 func (l *link) receiveAnswer(s *stream, f *frame) {
+	window := 0
 	if !f.End {
-		receiver := l.newReceiver(s, f.Data, func() { l.cancelStream(s) })
+		window = s.reserveWindow(l.mesh.answers)
+		receiver := l.newReceiver(s, f.Data, window, func() { l.cancelStream(s) })
 		s.receiver.Store(receiver)
 		// If the link closed before the receiver was stored, close did not fail it.
 		if l.ctx.Err() != nil {
@@ -207,14 +239,14 @@
 	case s.answer <- f:
 	default:
 	}
-	if s.receiver.Load() != nil {
-		l.grant(s, windowBytes)
+	if window > 0 {
+		l.grant(s, window)
 	}
 }
 
 // newReceiver returns the receiver of a chunked body of the stream.
-func (l *link) newReceiver(s *stream, first []byte, cancel func()) *bodyReceiver {
-	return newBodyReceiver(first, func(n int) { l.grant(s, n) }, cancel)
+func (l *link) newReceiver(s *stream, first []byte, window int, cancel func()) *bodyReceiver {
+	return newBodyReceiver(first, window, func(n int) { l.grant(s, n) }, cancel)
 }
 
 func (l *link) grant(s *stream, n int) {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -45,9 +45,11 @@
 	pingInterval time.Duration
 	pingTimeout  time.Duration
 	// bulk is the class of connection on which bulk data is sent.
-	bulk    Class
-	pinger  *pinger
-	bodies  *bodymemory.Budget
+	bulk   Class
+	pinger *pinger
+	bodies *bodymemory.Budget
+	// answers is the memory for the windows of chunked answers.
+	answers *bodymemory.Budget
 	closing sync.Once
 
 	mu     sync.Mutex
@@ -75,6 +77,7 @@
 		pingTimeout:  opts.PingTimeout,
 		bulk:         Calls,
 		bodies:       bodymemory.NewBudget(bodyMemoryBytes, bodyMemoryWait),
+		answers:      bodymemory.NewBudget(answerMemoryBytes, 0),
 		dialed:       map[string]*link{},
 		unreachable:  map[string]bool{},
 		accepted:     map[linkKey]*link{},
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -269,3 +269,52 @@
 		assert.Assert(t, time.Now().Before(deadline), "not in time: %s", what)
 	}
 }
+
+// TestUnreadAnswersAreBounded requests many answers without end and reads none of
+// them. What the node receives must stay within its memory for answers, apart from the
+// smallest windows, and an answer that is read must still arrive whole.
+func TestUnreadAnswersAreBounded(t *testing.T) {
+	const (
+		requests = 100
+		budget   = 4 * windowBytes
+		long     = 1 << 20
+	)
+	server, address := newTestMesh(t, "server", testSecret)
+	server.Handle(KindCall, func(_ context.Context, _ Identity, head, _ []byte) ([]byte, io.ReadCloser) {
+		return head, io.NopCloser(endlessReader{})
+	})
+	server.Handle(KindPool, func(context.Context, Identity, []byte, []byte) ([]byte, io.ReadCloser) {
+		return nil, io.NopCloser(io.LimitReader(endlessReader{}, long))
+	})
+	client, _ := newTestMesh(t, "client", testSecret)
+	client.answers = bodymemory.NewBudget(budget, 0)
+	var unread []*Response
+	for range requests {
+		resp, err := client.Do(t.Context(), Peer{Address: address}, &Request{Kind: KindCall, Class: Calls})
+		assert.NilError(t, err)
+		unread = append(unread, resp)
+	}
+	resp, err := client.Do(t.Context(), Peer{Address: address}, &Request{Kind: KindPool, Class: Calls})
+	assert.NilError(t, err)
+	n, err := io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(long))
+	assert.NilError(t, resp.Body.Close())
+	received := 0
+	for _, resp := range unread {
+		body := resp.Body.(*streamBody)
+		body.mu.Lock()
+		received += body.buffered
+		assert.NilError(t, body.err)
+		body.mu.Unlock()
+	}
+	assert.Assert(t, received <= budget+requests*minWindowBytes, "%d bytes", received)
+	for _, resp := range unread {
+		assert.NilError(t, resp.Body.Close())
+	}
+	assert.Assert(t, client.answers.TryReserve(budget) != nil, "memory was not released")
+}
+
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -85,7 +85,7 @@
 	s := &stream{id: f.Stream, class: c.class, credits: newCredits()}
 	s.ctx, s.cancel = context.WithCancel(l.ctx)
 	if !f.End {
-		s.receiver.Store(l.newReceiver(s, f.Data, s.cancel))
+		s.receiver.Store(l.newReceiver(s, f.Data, windowBytes, s.cancel))
 	}
 	l.mu.Lock()
 	closed := l.err != nil
--- a/plugin/guard/forward.go
+++ b/plugin/guard/forward.go
@@ -15,6 +15,7 @@
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/dialect"
 	"github.com/mangomast/mangomast/internal/connpool"
+	"github.com/mangomast/mangomast/internal/meshcall"
 )
 
 // attempt is one attempt to send a request to the upstream.
@@ -90,7 +91,8 @@
 }
 
 // handleResponse converts the upstream's response. A body shorter than
-// maxBufferedBytes is read completely; a longer one is streamed.
+// maxBufferedBytes is read completely, as far as there is memory for it; any other
+// is streamed.
 //
 // The connection is used again only if the response names the request. A second
 // copy of a response without its ID, which may arrive later, could not be told from
@@ -113,22 +115,24 @@
 	}
 	call.StripHeader(resp.Header)
 	reply := &call.Reply{Outcome: call.Answered, Status: resp.StatusCode, Header: call.HeaderFields(resp.Header), Length: resp.ContentLength}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
+	buffered, complete, memory, err := a.answers.ReadAhead(body, maxBufferedBytes)
 	if err != nil {
+		memory.Release()
 		_ = body.Close()
 		return a.failureReply(err), nil
 	}
-	if len(buffered) < maxBufferedBytes {
+	if complete {
 		if a.head.Method != http.MethodHead {
 			reply.Length = int64(len(buffered))
 		}
 		_ = body.Close()
-		return reply, io.NopCloser(bytes.NewReader(buffered))
+		return reply, &meshcall.FinishingBody{ReadCloser: io.NopCloser(bytes.NewReader(buffered)), Finish: memory.Release}
 	}
-	return reply, struct {
+	streamed := struct {
 		io.Reader
 		io.Closer
 	}{io.MultiReader(bytes.NewReader(buffered), body), body}
+	return reply, &meshcall.FinishingBody{ReadCloser: streamed, Finish: memory.Release}
 }
 
 // maxDiscardedBytes bounds the body of a declined request that is read, so that its
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -18,6 +18,7 @@
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/dialect"
 	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/internal/bodymemory"
 	"github.com/mangomast/mangomast/internal/connpool"
 	"github.com/mangomast/mangomast/internal/meshcall"
 	"github.com/mangomast/mangomast/jsonc"
@@ -48,6 +49,10 @@
 	// maxBufferedBytes is the size up to which an answer is buffered before it
 	// is forwarded, so that another attempt can replace a truncated one.
 	maxBufferedBytes = 256 << 10
+	// answerMemoryBytes bounds the answers that are buffered at once. Without free
+	// memory an answer is forwarded as it comes. It leaves most of the smallest VM's
+	// memory (184 MB) to other uses.
+	answerMemoryBytes = 16 << 20
 	// runsPerCostReport sets how often a reply reports the calls that one run
 	// causes further down the call graph: once per runsPerCostReport runs.
 	runsPerCostReport = 8
@@ -81,6 +86,7 @@
 	dialect dialect.Upstreams
 	metrics *metrics
 	pool    *connpool.Pool
+	answers *bodymemory.Budget
 	fanout  *retry.Fanout
 	lineage lineage.Table
 	runs    atomic.Int64
@@ -132,6 +138,7 @@
 	m.metrics = newMetrics(ctx.Registry, m.load)
 	m.gate = newGate(m, 1)
 	m.fanout = retry.NewFanout()
+	m.answers = bodymemory.NewBudget(answerMemoryBytes, 0)
 	m.pool = connpool.New(connpool.Options{
 		DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdleConnections, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	})
@@ -167,7 +174,7 @@
 }
 
 // Serve runs a request on the local upstream, or refuses it. It blocks until
-// the answer is complete, maxBufferedBytes of it have arrived, or the context
+// the answer is complete, as much of it has arrived as is buffered, or the context
 // ends. The caller must close the returned body, which may be nil.
 func (m *Module) Serve(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
 	upstream, g, refusal := m.readyUpstream(head)
