Write the lines of libraries to the node's log

Cause: net/http reports bytes on an idle connection, and panics of handlers, through the standard logger. Those lines went to standard error as plain text, one for each such connection, and blocked the goroutine that wrote them.

Change: the standard logger writes to the node's log, which is bounded and does not block, as one JSON line of at most 256 bytes of text.

--- a/node/main.go
+++ b/node/main.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -69,6 +70,8 @@
 	writer := newLogWriter(logs)
 	defer writer.close()
 	logger := newLogger(nodeSettings, writer)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{log: logger})
 	go recheckOnHangup(hangups, opts.Settings, logger)
 	return run(ctx, nodeSettings, logger)
 }
