--- a/plugin/guard/forward.go
+++ b/plugin/guard/forward.go
@@ -33,11 +33,12 @@
 	outgoing := *head
 	outgoing.Timeout = m.deadline(ctx, head).Sub(m.clock.Now())
 	a := &attempt{Module: m, ctx: ctx, upstream: upstream, head: &outgoing}
-	if _, err := a.buildRequest(nil); err != nil {
+	req, err := a.buildRequest(body)
+	if err != nil {
 		return call.Refuse(call.CodeBadRequest, "the request cannot be built"), nil
 	}
 	started := m.clock.Now()
-	resp, err := a.roundTrip(body)
+	resp, err := a.roundTrip(req)
 	m.metrics.upstream.Observe(m.clock.Since(started).Seconds())
 	if err != nil {
 		return a.failureReply(err), nil
@@ -48,18 +49,13 @@
 // roundTrip sends the request and returns the head of the response. A connection
 // that the upstream closed while it was idle, before any part of the request was
 // sent, is replaced.
-func (a *attempt) roundTrip(body []byte) (*http.Response, error) {
+func (a *attempt) roundTrip(req *http.Request) (*http.Response, error) {
 	for {
 		conn, err := a.pool.Get(a.ctx, a.Address)
 		if err != nil {
 			return nil, err
 		}
 		a.conn = conn
-		req, err := a.buildRequest(body)
-		if err != nil {
-			conn.Close()
-			return nil, err
-		}
 		resp, err := conn.RoundTrip(req)
 		if err == nil {
 			return resp, nil
@@ -68,6 +64,9 @@
 		if !conn.Reused() || conn.Written() || a.ctx.Err() != nil {
 			return nil, err
 		}
+		if req.Body, err = req.GetBody(); err != nil {
+			return nil, err
+		}
 	}
 }
 
