Grant credit for control messages on their own connection

Cause: a document above 32 KiB goes between nodes in chunks under credit. Chunks of control messages go over the control connection, but credit for them was sent on the connection for bulk data, which nodes that pass no calls to each other do not have. It was dropped, and the sender waited. The receiver waited without end too, since reading an answer did not end with its context, and a node pulls once at a time, so it never pulled again.

Excluded: by the logs the store and the relays were in time (1.1 to 1.8 s); the ten nodes without the version logged nothing about it.

Change: credit goes on the connection that carries the chunks; Exchange ends with its context while the answer arrives; a failed pull is logged at info level.

TestControlMessagesCarryLargeBodies, TestExchangeEndsWithItsContext and TestLargeConfigurationReachesAllNodes failed before and pass under the race detector.

--- a/mesh/body.go
+++ b/mesh/body.go
@@ -117,12 +117,14 @@
 	return credit
 }
 
-// Close implements io.Closer. It cancels a body that is still being received.
+// Close implements io.Closer. It cancels a body that is still being received, and a
+// Read that waits for it.
 func (b *bodyReceiver) Close() error {
 	b.mu.Lock()
 	ended := b.err != nil
 	if !ended {
 		b.err = errors.Wrap(ErrIncompleteBody, "closed before the body was complete")
+		b.changed.Broadcast()
 	}
 	b.mu.Unlock()
 	if !ended {
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -249,8 +249,10 @@
 	return newBodyReceiver(first, window, func(n int) { l.grant(s, n) }, cancel)
 }
 
+// grant sends credit on the connection that carries the chunks, as a link may have no
+// other one.
 func (l *link) grant(s *stream, n int) {
-	_ = l.enqueue(l.ctx, Bulk, &frame{Type: frameCredit, Stream: s.id, ToAcceptor: l.dialer, Credit: n})
+	_ = l.enqueue(l.ctx, l.mesh.chunkClass(s.class), &frame{Type: frameCredit, Stream: s.id, ToAcceptor: l.dialer, Credit: n})
 }
 
 func (l *link) cancelStream(s *stream) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -318,3 +318,54 @@
 type endlessReader struct{}
 
 func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestControlMessagesCarryLargeBodies sends a control message whose request and
+// answer need chunks over a link that has no connection of another class, as between
+// nodes that exchange only the configuration.
+func TestControlMessagesCarryLargeBodies(t *testing.T) {
+	const size = 3 * windowBytes
+	server, address := newTestMesh(t, "server", testSecret)
+	server.Handle(KindDocument, Typed(func(_ context.Context, _ Identity, body []byte) ([]byte, error) { return body, nil }))
+	client, _ := newTestMesh(t, "client", testSecret)
+	body := make([]byte, size)
+	for i := range body {
+		body[i] = byte(rand.Uint32())
+	}
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		var got []byte
+		assert.NilError(t, client.Exchange(ctx, Peer{VM: "server", Address: address}, KindDocument, body, &got))
+		assert.Assert(t, bytes.Equal(got, body))
+		cancel()
+	}
+	dialed := client.dialedLink(address)
+	assert.Assert(t, dialed.conn(Calls) == nil && dialed.conn(Bulk) == nil, "a connection of another class was dialed")
+}
+
+// TestExchangeEndsWithItsContext has a peer send a part of an answer and no more. The
+// exchange must end in time: its caller may start no other one meanwhile.
+func TestExchangeEndsWithItsContext(t *testing.T) {
+	server, address := newTestMesh(t, "server", testSecret)
+	stalled := make(chan struct{})
+	t.Cleanup(func() { close(stalled) })
+	server.Handle(KindDocument, func(context.Context, Identity, []byte, []byte) ([]byte, io.ReadCloser) {
+		part := io.LimitReader(endlessReader{}, 2*InlineBytes)
+		return controlAnswer(nil), io.NopCloser(io.MultiReader(part, stalledReader(stalled)))
+	})
+	client, _ := newTestMesh(t, "client", testSecret)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	started := time.Now()
+	var got []byte
+	err := client.Exchange(ctx, Peer{VM: "server", Address: address}, KindDocument, struct{}{}, &got)
+	assert.Assert(t, errors.Is(err, ErrIncompleteBody), "%v", err)
+	assert.Assert(t, time.Since(started) < time.Second, "%s", time.Since(started))
+}
+
+// stalledReader blocks until the channel is closed.
+type stalledReader <-chan struct{}
+
+func (r stalledReader) Read([]byte) (int, error) {
+	<-r
+	return 0, io.EOF
+}
--- a/mesh/typed.go
+++ b/mesh/typed.go
@@ -50,7 +50,8 @@
 	return data
 }
 
-// Exchange sends a typed control message and decodes the answer. The error is a
+// Exchange sends a typed control message and decodes the answer. It blocks until the
+// whole answer has arrived or ctx is done. The error is a
 // *TransportError or a *RemoteError, wraps ErrIncompleteBody, or means that a
 // message could not be encoded or decoded.
 func (m *Mesh) Exchange(ctx context.Context, peer Peer, kind Kind, request, response any) error {
@@ -63,6 +64,8 @@
 		return err
 	}
 	defer answer.Body.Close()
+	stop := context.AfterFunc(ctx, func() { _ = answer.Body.Close() })
+	defer stop()
 	var head controlHead
 	if err := Decode(answer.Head, &head); err != nil {
 		return err
--- a/plugin/follower/follower.go
+++ b/plugin/follower/follower.go
@@ -326,7 +326,8 @@
 	var got document
 	err := m.mesh.Exchange(ctx, mesh.Peer{VM: peer.VM, Address: peer.MeshAddress}, mesh.KindDocument, pullRequest{Version: m.Accepted()}, &got)
 	if err != nil {
-		m.log.WithError(err).WithField("peer", peer.VM).Debug("pulling the configuration from a peer failed")
+		m.log.WithError(err).WithFields(log.Fields{"peer": peer.VM, "version": m.Accepted(), "peer_version": peer.ConfigRevision}).
+			Info("pulling the configuration from a peer failed; the next exchange with a node that has it starts another attempt")
 		return
 	}
 	if got.Value != nil {
