Serve the calls of running requests until those have ended

Callers saw: a request that outlasted the grace of a planned stop could fail, because its upstream's calls got connection refused.

Cause: the entry drains before the guard and waited for its own callers only. Requests that other nodes sent to the upstream did not keep its listener open.

Change: the entry drains until the guard has no request, within the same time.

--- a/plugin/entry/stop.go
+++ b/plugin/entry/stop.go
@@ -87,8 +87,10 @@
 
 // Drain implements kernel.Drainer. It serves callers that have not noticed the
 // stop until the grace period is over, and waits until no request is in flight.
+// Requests that other nodes sent to the local upstream count too, because the
+// upstream makes their calls through this node.
 func (m *Module) Drain(ctx context.Context) error {
-	for m.takes(false) || m.active.Load() > 0 {
+	for m.takes(false) || m.active.Load() > 0 || m.guard.Busy() {
 		if err := kernel.Sleep(ctx, m.clock, drainPollInterval); err != nil {
 			return err
 		}
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -158,7 +158,7 @@
 
 // Drain implements kernel.Drainer: it waits until no request waits or runs.
 func (m *Module) Drain(ctx context.Context) error {
-	for m.active.Load() > 0 {
+	for m.Busy() {
 		if err := kernel.Sleep(ctx, m.clock, admission.TickInterval); err != nil {
 			return err
 		}
@@ -166,6 +166,9 @@
 	return nil
 }
 
+// Busy reports whether a request waits for or runs on the local upstream.
+func (m *Module) Busy() bool { return m.active.Load() > 0 }
+
 func (m *Module) load() call.Load {
 	m.mu.Lock()
 	g := m.gate
