Look up the parent of a call in one place

The rank of a request and the decision of a stopping node each looked it up. No change of behaviour: a request with a key has an organisation wherever its rank is asked for.

--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -301,14 +301,21 @@
 		const routeLevels = config.MaxImportance + 1
 		return lineage.CallerImportance(req.org.Importance*routeLevels + req.route.Importance), 0
 	}
-	if req.caller.Timeout > 0 {
-		if parent, ok := m.guard.ParentOf(req.started.Add(req.caller.Timeout)); ok {
-			return lineage.CallImportance(parent), parent.Rank
-		}
+	if parent, ok := m.parent(req); ok {
+		return lineage.CallImportance(parent), parent.Rank
 	}
 	return call.UpstreamImportance, 0
 }
 
+// parent returns the request on the local upstream that the request is a call of,
+// and false if there is none. Callers may use keyless routes too.
+func (m *Module) parent(req *request) (lineage.Parent, bool) {
+	if req.caller.HasKey || req.caller.Timeout <= 0 {
+		return lineage.Parent{}, false
+	}
+	return m.guard.ParentOf(req.started.Add(req.caller.Timeout))
+}
+
 // fillHead sets the fields of the head that are the same for all attempts.
 func (m *Module) fillHead(r *http.Request, req *request) {
 	call.StripHeader(r.Header)
--- a/plugin/entry/stop.go
+++ b/plugin/entry/stop.go
@@ -67,7 +67,10 @@
 // refuseWhenStopping refuses a request that might not finish before the process
 // exits.
 func (m *Module) refuseWhenStopping(_ *http.Request, req *request) *call.Reply {
-	if m.takes(false) || m.isCall(req) && m.takes(true) {
+	if m.takes(false) {
+		return nil
+	}
+	if _, isCall := m.parent(req); isCall && m.takes(true) {
 		return nil
 	}
 	refusal := call.Refuse(call.CodeLeaving, "the node is stopping")
@@ -75,16 +78,6 @@
 	return refusal
 }
 
-// isCall reports whether the request is a call made for a request that runs on the
-// local upstream. Requests on keyless routes may come from callers too.
-func (m *Module) isCall(req *request) bool {
-	if req.caller.HasKey || req.caller.Timeout <= 0 {
-		return false
-	}
-	_, ok := m.guard.ParentOf(req.started.Add(req.caller.Timeout))
-	return ok
-}
-
 // Drain implements kernel.Drainer. It serves callers that have not noticed the
 // stop until the grace period is over, and waits until no request is in flight.
 // Requests that other nodes sent to the local upstream count too, because the
