Let one relay of a domain watch for silent connections

Cause: since a watch ends after 3 s of silence, all three relays of a failure domain made a call each 2.5 s, on all sites.

Change: only the highest-ranked relay with a working watch makes short waits. The others make long ones, hear a change from it, and query it every 2 s. The next one leads 4 s after its last report, or at once if it lost the store.

--- a/membership/watch.go
+++ b/membership/watch.go
@@ -47,6 +47,9 @@
 	// maxTakeover is the time after which any VM takes over, so that a new
 	// configuration arrives in time where many have lost the store.
 	maxTakeover = 2 * time.Second
+	// LeaderLife is how long a relay relies on the working watch that a VM of a
+	// higher rank reported.
+	LeaderLife = 4 * time.Second
 )
 
 // Observe records whether a node reported a working watch of its own.
@@ -80,18 +83,29 @@
 	return now.Sub(a.unwatchedSince) >= min(delay, maxTakeover)
 }
 
+// Leads reports whether self, if it watches the store, is the VM of its group that
+// has to notice soon when its watch no longer works: no VM of a higher rank has
+// reported a working watch within LeaderLife.
+func (a *WatchAssignment) Leads(group []Entry, self string, now time.Time) bool {
+	higher, _ := higherRanked(group, self)
+	_, ok := a.watching(higher, LeaderLife, now)
+	return !ok
+}
+
 // ToQuery returns the VMs of which self should query one now, because none of a
-// higher rank has reported a working watch within the given time: the one that
-// last reported one or, if that is too long ago, those that may have one.
+// higher rank has reported a working watch within the given time, or half of
+// LeaderLife for a relay: the one that last reported one or, if that is too long
+// ago, those that may have one.
 func (a *WatchAssignment) ToQuery(group []Entry, self string, within time.Duration, now time.Time) []Entry {
 	higher, relay := higherRanked(group, self)
+	life := a.Life
 	if relay {
-		return nil
+		within, life = LeaderLife/2, LeaderLife
 	}
 	if _, ok := a.watching(higher, within, now); ok {
 		return nil
 	}
-	if last, ok := a.watching(higher, a.Life, now); ok {
+	if last, ok := a.watching(higher, life, now); ok {
 		return []Entry{last}
 	}
 	return higher[:min(len(higher), 2*RelaysPerDomain)]
--- a/membership/watch_test.go
+++ b/membership/watch_test.go
@@ -102,3 +102,33 @@
 	now = now.Add(maxTakeover)
 	assert.Assert(t, due(stranger))
 }
+
+// TestOneRelayLeadsTheWatch checks that one VM of a group has to notice soon when its
+// watch no longer works, that a relay queries it often enough to rely on that, and
+// that the next one leads once it hears no more of it.
+func TestOneRelayLeadsTheWatch(t *testing.T) {
+	group := ByRank(domainEntries(8))
+	now := time.Unix(1000, 0)
+	a := WatchAssignment{Life: 1500 * time.Millisecond}
+	first, second := group[0].VM, group[1].VM
+	toQuery := func(vm string) []Entry { return a.ToQuery(group, vm, time.Second, now) }
+	assert.Assert(t, a.Leads(group, first, now) && a.Leads(group, second, now), "nothing is known yet")
+	assert.Equal(t, len(toQuery(first)), 0)
+	assert.DeepEqual(t, toQuery(second), group[:1])
+
+	a.Observe(first, true, now)
+	assert.Assert(t, a.Leads(group, first, now) && !a.Leads(group, second, now))
+	now = now.Add(LeaderLife / 2)
+	assert.Equal(t, len(toQuery(second)), 0)
+	now = now.Add(time.Millisecond)
+	assert.DeepEqual(t, toQuery(second), group[:1])
+	now = now.Add(LeaderLife/2 - time.Millisecond)
+	assert.Assert(t, !a.Leads(group, second, now))
+	now = now.Add(time.Millisecond)
+	assert.Assert(t, a.Leads(group, second, now), "the first relay no longer answers")
+
+	a.Observe(first, true, now)
+	a.Observe(first, false, now)
+	assert.Assert(t, a.Leads(group, second, now), "the first relay lost the store")
+	assert.Assert(t, a.Leads(nil, second, now))
+}
--- a/plugin/follower/follower.go
+++ b/plugin/follower/follower.go
@@ -44,9 +44,9 @@
 	// watchDueInterval is the interval at which a node that does not watch the
 	// store checks whether it has to.
 	watchDueInterval = 500 * time.Millisecond
-	// watchReleaseInterval is the interval at which a node that watches the
-	// store checks whether it still has to.
-	watchReleaseInterval = 2 * time.Second
+	// superviseInterval is the interval at which a node that watches the store
+	// checks whether it still has to, and how soon it has to notice a loss.
+	superviseInterval = 2 * time.Second
 	// maxReadAge is the maximum age of a read after whose revision a watch may
 	// start. Stores compact their history, so an older revision may no longer be
 	// available.
@@ -197,8 +197,8 @@
 	defer cancel()
 	m.setWatch(cancel)
 	defer m.setWatch(nil)
-	go m.cancelWatchWhenNotDue(ctx, cancel)
-	err = m.store.Watch(ctx, m.documents.Key(), revision+1, func(batch store.WatchBatch) {
+	go m.superviseWatch(ctx, cancel, m.roster.LeadsWatch())
+	err = m.store.Watch(ctx, m.documents.Key(), revision+1, m.roster.LeadsWatch, func(batch store.WatchBatch) {
 		for _, event := range batch.Events {
 			if !event.Deleted && event.Record.Key == m.documents.Key() {
 				m.apply(event.Record.Value, fromStore)
@@ -244,12 +244,16 @@
 	}
 }
 
-// cancelWatchWhenNotDue cancels the watch once this node no longer has to watch.
-func (m *Module) cancelWatchWhenNotDue(ctx context.Context, cancel context.CancelFunc) {
-	for kernel.Sleep(ctx, m.clock, watchReleaseInterval) == nil {
-		if !m.roster.WatchDue() {
+// superviseWatch cancels the watch once this node no longer has to watch. It also
+// does so once this node leads the watch and did not before, because its present
+// wait is a long one.
+func (m *Module) superviseWatch(ctx context.Context, cancel context.CancelFunc, led bool) {
+	for kernel.Sleep(ctx, m.clock, superviseInterval) == nil {
+		leads := m.roster.LeadsWatch()
+		if !m.roster.WatchDue() || leads && !led {
 			cancel()
 		}
+		led = leads
 	}
 }
 
--- a/plugin/roster/roster.go
+++ b/plugin/roster/roster.go
@@ -328,6 +328,14 @@
 	return m.watchAssignment.ShouldWatch(m.rankedGroup(), m.self.VM, m.clock.Now())
 }
 
+// LeadsWatch reports whether this node, if it watches the configuration, is the one
+// of its group that has to notice soon when its watch no longer works.
+func (m *Module) LeadsWatch() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.watchAssignment.Leads(m.rankedGroup(), m.self.VM, m.clock.Now())
+}
+
 // SetWatching sets whether this node has a working watch of the configuration. A
 // watch that starts is announced to the group, so that no other VM starts one.
 func (m *Module) SetWatching(working bool) {
--- a/store/etcd/etcd.go
+++ b/store/etcd/etcd.go
@@ -148,7 +148,7 @@
 }
 
 // Watch implements store.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64, handle func(store.WatchBatch)) error {
+func (c *Client) Watch(ctx context.Context, prefix string, from int64, _ func() bool, handle func(store.WatchBatch)) error {
 	key := []byte(prefix)
 	req := WatchRequest{Create: WatchCreate{Key: key, RangeEnd: RangeEnd(key), StartRevision: from}}
 	resp, err := c.post(ctx, PathWatch, req)
--- a/store/etcd/etcd_test.go
+++ b/store/etcd/etcd_test.go
@@ -50,7 +50,7 @@
 	_, err = client.Commit(ctx, store.Txn{Deletes: []string{"/a"}})
 	assert.NilError(t, err)
 	var seen []store.Event
-	err = client.Watch(ctx, "/", first.Revision, func(b store.WatchBatch) {
+	err = client.Watch(ctx, "/", first.Revision, func() bool { return true }, func(b store.WatchBatch) {
 		if seen = append(seen, b.Events...); len(seen) == 2 {
 			cancel()
 		}
--- a/store/store.go
+++ b/store/store.go
@@ -104,8 +104,10 @@
 	Commit(ctx context.Context, txn Txn) (TxnResult, error)
 	// Watch calls handle for each batch of changes to keys that start with
 	// prefix, beginning with revision from. It returns when the context ends or
-	// the connection is lost. The handler runs on the caller's goroutine.
-	Watch(ctx context.Context, prefix string, from int64, handle func(WatchBatch)) error
+	// the connection is lost. The handler runs on the caller's goroutine. An
+	// implementation that makes a call for each wait makes longer ones while prompt
+	// returns false, and may then notice late that a connection went silent.
+	Watch(ctx context.Context, prefix string, from int64, prompt func() bool, handle func(WatchBatch)) error
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease and returns its remaining time, which is zero if
