Decode a new configuration once on a relay

Cause: relays learn of a new version from the store and, while they decode it, from each other. They pulled the whole document again and decoded it again.

Change: a node does not decode the document that is in force, and waits for the one that it is decoding before it pulls.

--- a/plugin/follower/follower.go
+++ b/plugin/follower/follower.go
@@ -6,6 +6,7 @@
 package follower
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -73,6 +74,8 @@
 	current          atomic.Pointer[config.Snapshot]
 	pulling          atomic.Bool
 	storeUnavailable bool
+	// applying is held while a document is decoded and put in force.
+	applying sync.Mutex
 
 	mu sync.Mutex
 	// cancelWatch cancels the active watch; nil if there is none.
@@ -278,6 +281,11 @@
 // apply puts the document in force, unless it cannot be decoded or is not newer
 // than the present one.
 func (m *Module) apply(value []byte, source string) {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	if m.isInForce(value) {
+		return
+	}
 	decoded, err := m.documents.Decode(value)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -300,6 +308,12 @@
 	m.roster.SetConfigRevision(decoded.Version, source == fromStore)
 }
 
+func (m *Module) isInForce(value []byte) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.raw.Value != nil && bytes.Equal(value, m.raw.Value)
+}
+
 // maxLoggedFindings bounds the findings that are logged for one version.
 const maxLoggedFindings = 20
 
@@ -313,17 +327,27 @@
 }
 
 // pullIfNewer pulls the document from a node that has a newer version, unless a
-// pull is already in flight.
+// pull is already in flight. It first waits for the document that is being decoded,
+// which may be the same: relays learn of a new one from the store and from each
+// other at almost the same time.
 func (m *Module) pullIfNewer(peer membership.Entry) {
 	if peer.ConfigRevision <= m.Accepted() || !m.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer m.pulling.Store(false)
-		m.pull(peer)
+		m.awaitApply()
+		if peer.ConfigRevision > m.Accepted() {
+			m.pull(peer)
+		}
 	}()
 }
 
+func (m *Module) awaitApply() {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+}
+
 func (m *Module) pull(peer membership.Entry) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
