--- a/plugin/follower/follower.go
+++ b/plugin/follower/follower.go
@@ -8,7 +8,6 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -158,7 +157,7 @@
 		if err != nil {
 			m.recordStoreLoss(err)
 		}
-		if err := kernel.Sleep(ctx, m.clock, time.Duration((0.5+rand.Float64()/2)*float64(backoff))); err != nil {
+		if err := kernel.SleepWithJitter(ctx, m.clock, backoff); err != nil {
 			return err
 		}
 		backoff = min(2*backoff, maxBackoff)
--- a/plugin/guard/departures.go
+++ b/plugin/guard/departures.go
@@ -24,19 +24,18 @@
 	if slices.Contains(d.incarnations, departed) {
 		return false
 	}
-	d.incarnations = append(d.incarnations, departed)
-	if len(d.incarnations) > maxDepartures {
-		d.incarnations = d.incarnations[1:]
-	}
+	d.incarnations = appendDeparture(d.incarnations, departed)
 	return true
 }
 
 // markKept records that the departure outlives this process.
 func (d *departures) markKept(departed membership.Departure) {
-	d.kept = append(d.kept, departed)
-	if len(d.kept) > maxDepartures {
-		d.kept = d.kept[1:]
-	}
+	d.kept = appendDeparture(d.kept, departed)
+}
+
+func appendDeparture(list []membership.Departure, departed membership.Departure) []membership.Departure {
+	list = append(list, departed)
+	return list[max(0, len(list)-maxDepartures):]
 }
 
 func (d *departures) isKept(departed membership.Departure) bool {
--- a/plugin/roster/departures.go
+++ b/plugin/roster/departures.go
@@ -125,7 +125,7 @@
 // be restarted right after it has confirmed a notice of leaving.
 func (m *Module) readDepartures(ctx context.Context) error {
 	for backoff := minReadBackoff; !m.readDeparturesOnce(ctx); backoff = min(2*backoff, maxReadBackoff) {
-		if err := kernel.Sleep(ctx, m.clock, time.Duration((0.5+rand.Float64()/2)*float64(backoff))); err != nil {
+		if err := kernel.SleepWithJitter(ctx, m.clock, backoff); err != nil {
 			return err
 		}
 	}
