--- a/node/main.go
+++ b/node/main.go
@@ -22,9 +22,9 @@
 	// gcPercent lets the heap grow to 2.5 times the live heap before it is
 	// collected, which is acceptable because a node's live heap is small.
 	gcPercent = 150
-	// memoryLimitBytes makes GC more frequent near a node's memory budget of
-	// 256 MB.
-	memoryLimitBytes = 200 << 20
+	// memoryLimitFraction is the fraction of the process's memory at which garbage is
+	// collected more often. The rest is for what the runtime does not count.
+	memoryLimitFraction = 0.8
 )
 
 type options struct {
@@ -64,7 +64,7 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimitBytes)
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(nodeSettings.Limits.Memory())))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	writer := newLogWriter(logs)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,6 +44,8 @@
 	Seeds []string `json:"seeds"`
 	// Upstream is the local upstream, if it does not announce itself.
 	Upstream Upstream `json:"upstream"`
+	// Limits are the limits of the VM for the process.
+	Limits Limits `json:"limits"`
 	// Grace is the time between the signal of a planned stop and the kill of
 	// the process; 90s if empty.
 	Grace jsonc.Duration `json:"grace"`
@@ -73,6 +75,46 @@
 	return host
 }
 
+// Limits are the limits of a VM for the node's process. A process that exceeds them
+// may be killed.
+type Limits struct {
+	// MemoryMB is the memory that the process may use, in units of 10^6 bytes; 256
+	// if empty.
+	MemoryMB int `json:"memory_mb"`
+	// Descriptors is the number of files and connections that the process may have
+	// open; 4096 if empty.
+	Descriptors int `json:"descriptors"`
+}
+
+const (
+	defaultMemoryMB    = 256
+	defaultDescriptors = 4096
+	// minMemoryMB and minDescriptors are the least with which a node serves requests.
+	minMemoryMB    = 48
+	minDescriptors = 256
+)
+
+// Memory returns the memory that the process may use, in bytes.
+func (l Limits) Memory() int64 { return int64(l.MemoryMB) * 1e6 }
+
+func (l *Limits) setDefaults() {
+	if l.MemoryMB == 0 {
+		l.MemoryMB = defaultMemoryMB
+	}
+	if l.Descriptors == 0 {
+		l.Descriptors = defaultDescriptors
+	}
+}
+
+func (l Limits) validate(findings *finding.List) {
+	if l.MemoryMB < minMemoryMB {
+		findings.Addf("/limits/memory_mb", "must be at least %d", minMemoryMB)
+	}
+	if l.Descriptors < minDescriptors {
+		findings.Addf("/limits/descriptors", "must be at least %d", minDescriptors)
+	}
+}
+
 // Advertise has the addresses under which others reach a node.
 type Advertise struct {
 	// Callers, Mesh and Admin are IP:port; they default to those of Listen.
@@ -138,6 +180,7 @@
 	if n.Grace == 0 {
 		n.Grace = jsonc.Duration(defaultGrace)
 	}
+	n.Limits.setDefaults()
 	if n.Advertise.Callers == "" {
 		n.Advertise.Callers = n.Listen.Callers
 	}
@@ -181,6 +224,7 @@
 		checkAddress(findings, "/seeds/"+strconv.Itoa(i), seed, false)
 	}
 	n.Upstream.Validate("/upstream", findings)
+	n.Limits.validate(findings)
 	if n.Grace < 0 {
 		findings.Addf("/grace", "must not be negative")
 	}
