Bound the connections and heads of clients outside the limits

Cause: a listener accepted every connection, read up to 64 KiB of each head whatever the configuration allows, waited without bound for clients that take no answer, and for the rest of a body that it had refused, before the refusal was sent.

Change: package intake decides which connections of a listener are closed, by shares of the process's memory and descriptors; internal/httpserver drives it on every listener. On the callers' listener a head beyond the configuration's header size is refused while it is read. Connections of nodes that proved who they are do not count.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -27,6 +27,8 @@
 	address  string
 	server   *http.Server
 	listener *drainingListener
+	// guard bounds the connections; nil for no bound.
+	guard *guard
 	// draining makes every response close its connection.
 	draining        atomic.Bool
 	openConnections atomic.Int64
@@ -60,6 +62,9 @@
 }
 
 func (s *Server) countConnections(conn net.Conn, state http.ConnState) {
+	if s.guard != nil {
+		s.guard.setState(conn, state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateNew || state == http.StateActive {
@@ -81,7 +86,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", s.address)
 	}
-	s.listener = &drainingListener{TCPListener: listener.(*net.TCPListener), ended: make(chan struct{})}
+	s.listener = &drainingListener{TCPListener: listener.(*net.TCPListener), guard: s.guard, ended: make(chan struct{})}
 	return nil
 }
 
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -24,6 +24,8 @@
 // wait to be accepted before it closes.
 type drainingListener struct {
 	*net.TCPListener
+	// guard bounds the accepted connections; nil for no bound.
+	guard     *guard
 	stopped   atomic.Pointer[time.Time]
 	ended     chan struct{}
 	closeOnce sync.Once
@@ -54,7 +56,7 @@
 		}
 		_ = l.SetDeadline(now.Add(acceptQuiet))
 	}
-	conn, err := l.TCPListener.Accept()
+	conn, err := l.acceptGuarded()
 	var timeout net.Error
 	if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
 		return conn, err
@@ -73,3 +75,19 @@
 	l.closeOnce.Do(func() { close(l.ended) })
 	return err
 }
+
+// acceptGuarded accepts a connection that the guard lets in.
+func (l *drainingListener) acceptGuarded() (net.Conn, error) {
+	for {
+		conn, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		if l.guard == nil {
+			return conn, nil
+		}
+		if guarded := l.guard.accept(conn); guarded != nil {
+			return guarded, nil
+		}
+	}
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -33,6 +34,9 @@
 	// SharedConnection sends bulk data on the connection of the Calls class; for
 	// experiments only.
 	SharedConnection bool
+	// OnAccept is called with the context of the HTTP request of each connection of a
+	// node that has proved its identity; nil for nothing.
+	OnAccept func(context.Context)
 }
 
 // Mesh dials and accepts links. It is safe for concurrent use.
@@ -45,9 +49,10 @@
 	pingInterval time.Duration
 	pingTimeout  time.Duration
 	// bulk is the class of connection on which bulk data is sent.
-	bulk   Class
-	pinger *pinger
-	bodies *bodymemory.Budget
+	bulk     Class
+	pinger   *pinger
+	onAccept func(context.Context)
+	bodies   *bodymemory.Budget
 	// answers is the memory for the windows of chunked answers.
 	answers *bodymemory.Budget
 	closing sync.Once
@@ -75,6 +80,7 @@
 		http:         newHTTPClient(opts.LocalIP),
 		pingInterval: opts.PingInterval,
 		pingTimeout:  opts.PingTimeout,
+		onAccept:     opts.OnAccept,
 		bulk:         Calls,
 		bodies:       bodymemory.NewBudget(bodyMemoryBytes, bodyMemoryWait),
 		answers:      bodymemory.NewBudget(answerMemoryBytes, 0),
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -49,6 +49,9 @@
 		_ = ws.Close(websocket.StatusPolicyViolation, "handshake refused")
 		return
 	}
+	if m.onAccept != nil {
+		m.onAccept(r.Context())
+	}
 	l := m.acceptedLink(linkKey{vm: h.Identity.VM, incarnation: h.Identity.Incarnation, link: h.Link})
 	if err := l.add(newConn(ws, h.Class, l, pingsReceived), h.Identity); err != nil {
 		m.log.WithError(err).Debug("mesh connection not added to its link; closing it")
--- a/node/main.go
+++ b/node/main.go
@@ -24,7 +24,7 @@
 	gcPercent = 150
 	// memoryLimitFraction is the fraction of the process's memory at which garbage is
 	// collected more often. The rest is for what the runtime does not count.
-	memoryLimitFraction = 0.8
+	memoryLimitFraction = 0.7
 )
 
 type options struct {
--- a/plugin/admin/admin.go
+++ b/plugin/admin/admin.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/intake"
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
@@ -60,7 +61,7 @@
 		e.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 		e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
 	}
-	m.server = httpserver.New(ctx.Node.Listen.Admin, e)
+	m.server = httpserver.NewForListener(ctx, "admin", ctx.Node.Listen.Admin, e, intake.ServiceShare)
 	kernel.Provide(ctx, e)
 	return nil
 }
--- a/plugin/egress/egress.go
+++ b/plugin/egress/egress.go
@@ -12,6 +12,7 @@
 
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
+	"github.com/mangomast/mangomast/intake"
 	"github.com/mangomast/mangomast/internal/httpcall"
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/kernel"
@@ -66,7 +67,8 @@
 	e := echo.New()
 	local.RegisterLoopback(e)
 	e.Any("/*", m.serve)
-	m.server = httpserver.New(ctx.Node.Listen.Egress, e)
+	m.server = httpserver.NewForListener(ctx, "egress", ctx.Node.Listen.Egress, e, intake.PeersShare)
+	m.server.LimitHeader(func() int64 { return 0 })
 	return nil
 }
 
--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/dialect"
 	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/intake"
 	"github.com/mangomast/mangomast/internal/httpcall"
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/jsonc"
@@ -117,7 +118,8 @@
 	m.bodies = httpcall.NewBodyReader()
 	e := echo.New()
 	e.Any("/*", m.serve)
-	m.server = httpserver.New(ctx.Node.Listen.Callers, e)
+	m.server = httpserver.NewForListener(ctx, "callers", ctx.Node.Listen.Callers, e, intake.CallersShare)
+	m.server.LimitHeader(m.maxHeaderBytes)
 	kernel.Provide(ctx, m)
 	return nil
 }
@@ -244,12 +246,22 @@
 		refusal.RetryAfter = notReadyRetryAfter
 		return refusal
 	}
-	if limits := req.snapshot.Document.Limits; limits != nil && limits.HeaderBytes > 0 && headerBytes(r.Header) > limits.HeaderBytes {
+	if limit := m.maxHeaderBytes(); limit > 0 && headerBytes(r.Header) > limit {
 		return call.Refuse(call.CodeHeaderTooLarge, "the header is larger than the configuration allows")
 	}
 	return nil
 }
 
+// maxHeaderBytes returns the size of a header that the configuration allows, or 0 for
+// no limit of its own.
+func (m *Module) maxHeaderBytes() int64 {
+	snapshot := m.config.Snapshot()
+	if snapshot == nil || snapshot.Document.Limits == nil {
+		return 0
+	}
+	return snapshot.Document.Limits.HeaderBytes
+}
+
 func (m *Module) matchRoute(r *http.Request, req *request) *call.Reply {
 	req.route = req.snapshot.Route(r.Host, r.Method, r.URL.Path)
 	if req.route == nil {
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/mangomast/mangomast/call"
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/intake"
 	"github.com/mangomast/mangomast/internal/httpcall"
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/jsonc"
@@ -120,7 +121,8 @@
 	e := echo.New()
 	e.POST(PathIDs, m.serveID)
 	e.Any("/*", m.serve)
-	m.server = httpserver.New(ctx.Node.Listen.Callers, e)
+	m.server = httpserver.NewForListener(ctx, "callers", ctx.Node.Listen.Callers, e, intake.CallersShare)
+	m.server.LimitHeader(func() int64 { return 0 })
 	return nil
 }
 
--- a/plugin/mesh/mesh.go
+++ b/plugin/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/mangomast/mangomast/finding"
+	"github.com/mangomast/mangomast/intake"
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
@@ -69,6 +70,7 @@
 		LocalIP:      ctx.Node.Listen.MeshIP(),
 		PingInterval: m.PingInterval.Std(), PingTimeout: m.PingTimeout.Std(),
 		SharedConnection: m.SharedConnection,
+		OnAccept:         httpserver.MarkEstablished,
 	})
 	if err != nil {
 		return err
@@ -76,7 +78,7 @@
 	m.mesh = nodeMesh
 	mux := http.NewServeMux()
 	mux.Handle(mesh.Path, nodeMesh)
-	m.server = httpserver.New(ctx.Node.Listen.Mesh, mux)
+	m.server = httpserver.NewForListener(ctx, "mesh", ctx.Node.Listen.Mesh, mux, intake.PeersShare)
 	kernel.Provide(ctx, nodeMesh)
 	return nil
 }
--- a/plugin/metrics/metrics.go
+++ b/plugin/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/mangomast/mangomast/intake"
 	"github.com/mangomast/mangomast/internal/httpserver"
 	"github.com/mangomast/mangomast/kernel"
 )
@@ -34,7 +35,7 @@
 func (m *Module) Provision(ctx *kernel.Context) error {
 	e := echo.New()
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(ctx.Registry, promhttp.HandlerOpts{})))
-	m.server = httpserver.New(ctx.Node.Listen.Admin, e)
+	m.server = httpserver.NewForListener(ctx, "admin", ctx.Node.Listen.Admin, e, intake.ServiceShare)
 	return nil
 }
 
