Bind routes and organisations to regions

If none of a node's subset is left, a VM beyond the subset is picked, because the few allowed VMs may all be outside it. Two refusal codes, both not run and placed again, are for VMs of other regions and of evacuated failure domains.

Nothing sets these fields yet.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -75,7 +75,8 @@
 	switch reply.Outcome {
 	case call.Refused:
 		switch reply.Code {
-		case call.CodeOverloaded, call.CodeDeadline, call.CodeLeaving, call.CodeNoUpstream, call.CodeConnectionLost, call.CodeUpstreamFailed:
+		case call.CodeOverloaded, call.CodeDeadline, call.CodeLeaving, call.CodeNoUpstream, call.CodeConnectionLost, call.CodeUpstreamFailed,
+			call.CodeEvacuated, call.CodeForeignRegion:
 			return true
 		}
 		return false
--- a/call/call.go
+++ b/call/call.go
@@ -80,6 +80,14 @@
 	CodeSlowBody
 )
 
+const (
+	// CodeEvacuated means that the VM's failure domain is evacuated.
+	CodeEvacuated Code = iota + 40
+	// CodeForeignRegion means that the route or the organisation is bound to
+	// regions and the VM is in none of them.
+	CodeForeignRegion
+)
+
 type codeText struct {
 	name   string
 	status int
@@ -111,6 +119,8 @@
 	CodePinLost:          {"pin_lost", http.StatusBadGateway},
 	CodeIDExpired:        {"id_expired", http.StatusGone},
 	CodeAnswerNotKept:    {"answer_not_kept", http.StatusGone},
+	CodeEvacuated:        {"evacuated", http.StatusServiceUnavailable},
+	CodeForeignRegion:    {"foreign_region", http.StatusServiceUnavailable},
 }
 
 // String returns the code's name as used in headers, logs and metrics.
--- a/config/document.go
+++ b/config/document.go
@@ -73,6 +73,9 @@
 	Importance uint8 `json:"importance,omitempty"`
 	// Suspended makes nodes refuse the organisation's requests.
 	Suspended bool `json:"suspended,omitempty"`
+	// Regions are the regions in which the organisation's requests may run; all
+	// if empty. Regions of the route bind as well.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Limits bounds the requests and connections of callers.
@@ -156,6 +159,9 @@
 	// response bodies.
 	MaxRequestBytes int64 `json:"max_request_bytes"`
 	MaxAnswerBytes  int64 `json:"max_answer_bytes"`
+	// Regions are the regions in which the route's requests may run; all if
+	// empty. Regions of the organisation bind as well.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // FailureDomain is a set of VMs that may fail together.
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -21,6 +21,7 @@
 	organisations map[string]*Organisation
 	keysByHash    map[string]*Key
 	keysByID      map[string]*Key
+	routesByID    map[string]*Route
 	exactRoutes   map[string][]*Route
 	prefixRoutes  []*Route
 }
@@ -47,6 +48,7 @@
 		organisations: make(map[string]*Organisation, len(doc.Organisations)),
 		keysByHash:    make(map[string]*Key, len(doc.Keys)),
 		keysByID:      make(map[string]*Key, len(doc.Keys)),
+		routesByID:    make(map[string]*Route, len(doc.Routes)),
 		exactRoutes:   map[string][]*Route{},
 	}
 	for i := range doc.Organisations {
@@ -92,6 +94,7 @@
 }
 
 func (s *Snapshot) addRoute(route *Route) {
+	s.routesByID[route.ID] = route
 	if strings.HasSuffix(route.Path, "/") {
 		s.prefixRoutes = append(s.prefixRoutes, route)
 		return
--- a/config/validate.go
+++ b/config/validate.go
@@ -77,6 +77,7 @@
 		if org.ServeWhenCutOff < 0 {
 			v.findings.Addf(pointer+"/serve_when_cut_off", "must not be negative")
 		}
+		v.regions(pointer+"/regions", org.Regions)
 	}
 	return seen
 }
@@ -127,6 +128,7 @@
 		}
 		v.split(pointer, route, services)
 		v.openTo(pointer+"/open_to", route.OpenTo, organisations)
+		v.regions(pointer+"/regions", route.Regions)
 		v.limits(pointer, route)
 	}
 }
@@ -167,6 +169,14 @@
 	}
 }
 
+func (v *validator) regions(pointer string, regions []string) {
+	for i, region := range regions {
+		if !settings.ValidName(region) {
+			v.findings.Addf(fmt.Sprintf("%s/%d", pointer, i), "%q is not a valid name of a region", region)
+		}
+	}
+}
+
 // limits checks the numeric fields of the route.
 func (v *validator) limits(pointer string, route Route) {
 	if route.Importance < MinImportance || route.Importance > MaxImportance {
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -51,7 +51,11 @@
 	defer b.mu.Unlock()
 	c := &choice{Balancer: b, attempt: attempt, service: b.service(attempt.Head.Service, candidates, attempt.Now)}
 	c.maxRamp = c.service.maxRamp(attempt.Now, b.opts.Ramp)
-	return c.run()
+	entry, ok := c.run()
+	if !ok && attempt.Excluded != nil {
+		return c.beyondSubsets()
+	}
+	return entry, ok
 }
 
 func (b *Balancer) service(name string, candidates []membership.Entry, now time.Time) *service {
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -78,11 +78,12 @@
 	return c.opts.SpillRegion
 }
 
-// usable returns the tier's members that are eligible and have not been tried.
+// usable returns the tier's members that are eligible, not excluded and have not
+// been tried.
 func (c *choice) usable(t tier, eligible eligibility) []member {
 	var members []member
 	for _, m := range c.service.subsets[t] {
-		if slices.Contains(c.attempt.Tried, m.entry.VM) {
+		if slices.Contains(c.attempt.Tried, m.entry.VM) || c.attempt.excludes(m.entry) {
 			continue
 		}
 		if !m.vm.ejected(c.attempt.Now) || eligible == anyVM || (eligible == withSlow && m.vm.ejectedForLatency) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -20,6 +20,9 @@
 	// Tried lists the VMs that the request has already been sent to.
 	Tried []string
 	Now   time.Time
+	// Excluded reports the VMs that must not be picked, even if no other VM is
+	// left; nil excludes none.
+	Excluded func(membership.Entry) bool
 }
 
 // Result is the result of an attempt, reported to the Picker.
@@ -87,7 +90,7 @@
 	best := tierCount
 	for _, entry := range candidates {
 		t := p.Place.tier(entry)
-		if t > best || slices.Contains(attempt.Tried, entry.VM) {
+		if t > best || slices.Contains(attempt.Tried, entry.VM) || attempt.excludes(entry) {
 			continue
 		}
 		if t < best {
