Follow evacuations and keep bound requests in their regions

The follower's read and watch also cover the keys of evacuations where the settings ask for it, so that there are no further calls to the store. The set of evacuated domains has the store's revision and travels on each exchange between nodes; a lower revision never replaces a higher one. Entries pick no VM that is evacuated or outside the regions of the route and of the organisation. The guard refuses both as not run, again after the queue, and refuses everything until it knows the set. Domains that are taken back return by ramp. A stopping node without a lease no longer revokes lease 0.

Cold VMs are not served yet.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -72,6 +72,17 @@
 	Decode(value []byte) (Decoded, error)
 }
 
+// Evacuations locates the operators' requests to evacuate failure domains in the
+// store. A failure domain is evacuated while its key exists, whatever the value is.
+type Evacuations interface {
+	// Prefix is the prefix of the keys of all evacuations and of Documents.Key, so
+	// that one read or watch covers them all.
+	Prefix() string
+	// Domain returns the failure domain that a key evacuates; ok is false for any
+	// other key.
+	Domain(key string) (domain string, ok bool)
+}
+
 // Decoded is a configuration document that was read from the store.
 type Decoded struct {
 	// Document is valid.
--- a/plugin/entry/dispatch.go
+++ b/plugin/entry/dispatch.go
@@ -26,6 +26,9 @@
 	body     []byte
 	deadline time.Time
 	tracker  attempt.Tracker
+	// evacuated are the failure domains whose guards refused the request because of
+	// an evacuation that this node does not know yet.
+	evacuated []string
 	// lastReply is the last reply with an answer of an upstream, and answer its
 	// body.
 	lastReply *call.Reply
@@ -52,7 +55,7 @@
 	} else {
 		d.guard.RecordCall(d.req.head.Service)
 	}
-	reply := call.Refuse(call.CodeNoUpstream, "no VM takes work for the service")
+	reply := d.noUpstream()
 	for {
 		entry, ok := d.pick()
 		if !ok {
@@ -98,7 +101,7 @@
 }
 
 func (d *dispatch) routingAttempt() routing.Attempt {
-	return routing.Attempt{Head: &d.req.head, Tried: d.req.triedVMs, Now: d.clock.Now()}
+	return routing.Attempt{Head: &d.req.head, Tried: d.req.triedVMs, Now: d.clock.Now(), Excluded: d.excluded()}
 }
 
 // try sends the request to one VM.
@@ -117,6 +120,9 @@
 	d.req.triedVMs = append(d.req.triedVMs, entry.VM)
 	d.req.attempts = append(d.req.attempts, fmt.Sprintf("%s %s %s %d %dms", entry.VM, reply.Outcome, reply.Code, reply.Status, now.Sub(started).Milliseconds()))
 	d.recordCosts(reply)
+	if reply.Code == call.CodeEvacuated {
+		d.evacuated = append(d.evacuated, entry.FailureDomain)
+	}
 	return reply, answer
 }
 
--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/mangomast/mangomast/lineage"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
+	"github.com/mangomast/mangomast/plugin/evacuation"
 	"github.com/mangomast/mangomast/plugin/follower"
 	"github.com/mangomast/mangomast/plugin/guard"
 	"github.com/mangomast/mangomast/plugin/pool"
@@ -45,7 +46,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{follower.ID, follower.DialectID, guard.ID, pool.ID, roster.ID},
+		Needs: []kernel.ID{follower.ID, follower.DialectID, guard.ID, pool.ID, roster.ID, evacuation.ID},
 		New: func() kernel.Module {
 			return &Module{
 				LeaveGrace: jsonc.Duration(defaultLeaveGrace), Retries: defaultRetries(),
@@ -73,7 +74,8 @@
 	pool          *pool.Module
 	guard         *guard.Module
 	mesh          *mesh.Mesh
-	picker        routing.Picker
+	evacuations   *evacuation.Module
+	picker        *routing.Balancer
 	retries       *retry.Throttles
 	metrics       *metrics
 	server        *httpserver.Server
@@ -102,7 +104,7 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	if err := kernel.Resolve(ctx, &m.config, &m.callers, &m.members, &m.pool, &m.guard, &m.mesh); err != nil {
+	if err := kernel.Resolve(ctx, &m.config, &m.callers, &m.members, &m.pool, &m.guard, &m.mesh, &m.evacuations); err != nil {
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
@@ -114,6 +116,7 @@
 	o.Ramp = routing.UpstreamRamp
 	o.Place = routing.Place{FailureDomain: ctx.Node.FailureDomain, Region: ctx.Node.Region}
 	m.picker = routing.NewBalancer(o)
+	m.evacuations.OnEnd(m.rampUp)
 	m.bodies = httpcall.NewBodyReader()
 	e := echo.New()
 	e.Any("/*", m.serve)
--- a/plugin/follower/follower.go
+++ b/plugin/follower/follower.go
@@ -2,7 +2,8 @@
 // config.Source. A version is in force as soon as the store has committed it.
 // This module receives it through a watch of the store, if the roster requires
 // this node to watch, and otherwise pulls it from a node that has it. A lower
-// version never replaces a higher one.
+// version never replaces a higher one. Where the node follows evacuations, the same
+// reads and watches cover them.
 package follower
 
 import (
@@ -21,6 +22,7 @@
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
+	"github.com/mangomast/mangomast/plugin/evacuation"
 	"github.com/mangomast/mangomast/plugin/roster"
 	"github.com/mangomast/mangomast/store"
 )
@@ -56,7 +58,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{roster.ID, roster.StoreID, DialectID},
+		Needs: []kernel.ID{roster.ID, roster.StoreID, DialectID, evacuation.ID},
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -69,6 +71,7 @@
 	mesh             *mesh.Mesh
 	roster           *roster.Module
 	documents        dialect.Documents
+	evacuations      *evacuationReader
 	version          prometheus.Gauge
 	current          atomic.Pointer[config.Snapshot]
 	pulling          atomic.Bool
@@ -110,6 +113,11 @@
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
+	evacuations, err := newEvacuationReader(ctx)
+	if err != nil {
+		return err
+	}
+	m.evacuations = evacuations
 	m.version = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "mangomast_config_version", Help: "Version of the configuration in force on this node; 0 before the first.",
 	})
@@ -200,7 +208,8 @@
 	m.setWatch(cancel)
 	defer m.setWatch(nil)
 	go m.superviseWatch(ctx, cancel, m.roster.LeadsWatch())
-	err = m.store.Watch(ctx, m.documents.Key(), revision+1, m.roster.LeadsWatch, func(batch store.WatchBatch) {
+	err = m.store.Watch(ctx, m.evacuations.prefixOr(m.documents.Key()), revision+1, m.roster.LeadsWatch, func(batch store.WatchBatch) {
+		m.evacuations.apply(batch.Events)
 		for _, event := range batch.Events {
 			if !event.Deleted && event.Record.Key == m.documents.Key() {
 				m.apply(event.Record.Value, fromStore)
@@ -259,21 +268,31 @@
 	}
 }
 
-// read reads the document from the store, applies it and returns the store's
-// revision.
+// read reads the document from the store, and evacuations where they are followed,
+// applies them and returns the store's revision.
 func (m *Module) read(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	listing, err := m.store.Get(ctx, m.documents.Key())
+	listing, err := m.list(ctx)
 	if err != nil {
 		return 0, err
 	}
+	m.evacuations.list(listing)
 	for _, record := range listing.Records {
-		m.apply(record.Value, fromStore)
+		if record.Key == m.documents.Key() {
+			m.apply(record.Value, fromStore)
+		}
 	}
 	return listing.Revision, nil
 }
 
+func (m *Module) list(ctx context.Context) (store.Listing, error) {
+	if m.evacuations.module.Follow {
+		return m.store.List(ctx, m.evacuations.dialect.Prefix())
+	}
+	return m.store.Get(ctx, m.documents.Key())
+}
+
 // fromStore is the source of documents that were read from the store.
 const fromStore = "store"
 
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -26,6 +26,7 @@
 	"github.com/mangomast/mangomast/lineage"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
+	"github.com/mangomast/mangomast/plugin/evacuation"
 	"github.com/mangomast/mangomast/plugin/follower"
 	"github.com/mangomast/mangomast/plugin/roster"
 	"github.com/mangomast/mangomast/retry"
@@ -63,7 +64,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{roster.ID, follower.ID, follower.DialectID},
+		Needs: []kernel.ID{roster.ID, follower.ID, follower.DialectID, evacuation.ID},
 		New: func() kernel.Module {
 			return &Module{MaxWait: jsonc.Duration(admission.SlotsMaxWait), BeatInterval: jsonc.Duration(defaultAnnouncementInterval)}
 		},
@@ -84,6 +85,7 @@
 	log     log.Interface
 	roster  *roster.Module
 	dialect dialect.Upstreams
+	places  *places
 	metrics *metrics
 	pool    *connpool.Pool
 	answers *bodymemory.Budget
@@ -135,6 +137,9 @@
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
+	if m.places, err = newPlaces(ctx); err != nil {
+		return err
+	}
 	m.metrics = newMetrics(ctx.Registry, m.load)
 	m.gate = newGate(m, 1)
 	m.fanout = retry.NewFanout()
@@ -181,6 +186,9 @@
 // ends. The caller must close the returned body, which may be nil.
 func (m *Module) Serve(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
 	upstream, g, refusal := m.readyUpstream(head)
+	if refusal == nil {
+		refusal = m.checkPlace(head)
+	}
 	if refusal != nil {
 		refusal.Load = m.load()
 		return refusal, nil
@@ -197,6 +205,13 @@
 		refusal.Load = g.load()
 		return refusal, nil
 	}
+	// An evacuation may have begun while the request waited.
+	if refusal := m.checkPlace(head); refusal != nil {
+		g.release(slot, refusal)
+		end()
+		refusal.Load = g.load()
+		return refusal, nil
+	}
 	m.fanout.RecordRun()
 	ended := m.lineage.Add(m.deadline(ctx, head), lineage.ParentOf(head))
 	reply, answer := m.forward(ctx, upstream, head, body)
--- a/plugin/roster/gossip.go
+++ b/plugin/roster/gossip.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/mangomast/mangomast/evacuation"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
@@ -28,6 +29,8 @@
 	Known position `cbor:"4,keyasint,omitzero"`
 	// Announcement is true if the sender does not ask for changes.
 	Announcement bool `cbor:"5,keyasint,omitempty"`
+	// Evacuations is the sender's set of evacuated failure domains.
+	Evacuations evacuation.Set `cbor:"6,keyasint,omitzero"`
 }
 
 // answer is the response of an exchange: the receiver's own entry and, unless
@@ -43,6 +46,8 @@
 	Predecessor *membership.Entry `cbor:"4,keyasint,omitempty"`
 	// Position is the receiver's position after Entries.
 	Position position `cbor:"5,keyasint,omitzero"`
+	// Evacuations is the receiver's set of evacuated failure domains.
+	Evacuations evacuation.Set `cbor:"6,keyasint,omitzero"`
 }
 
 // gossip exchanges entries with one other node in each round: with a node that
@@ -137,6 +142,7 @@
 		return false
 	}
 	m.metrics.exchanges.WithLabelValues("ok").Inc()
+	m.handleEvacuations(got.Evacuations, peer.VM)
 	m.mergeEntries(got.Self, got.Watches, got.Entries)
 	if !announcement {
 		m.advance(peer.VM, got.Position)
@@ -152,7 +158,7 @@
 func (m *Module) digestFor(vm string, announcement bool) digest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return digest{Self: m.self, Watches: m.watching, Known: m.known[vm], Announcement: announcement}
+	return digest{Self: m.self, Watches: m.watching, Known: m.known[vm], Announcement: announcement, Evacuations: m.evacuations}
 }
 
 // advance records the position up to which this node has the VM's changes.
@@ -172,10 +178,11 @@
 		reply.Predecessor = &predecessor
 	}
 	m.mu.Unlock()
+	m.handleEvacuations(theirs.Evacuations, theirs.Self.VM)
 	m.mergeEntries(theirs.Self, theirs.Watches, nil)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	reply.Self, reply.Watches = m.self, m.watching
+	reply.Self, reply.Watches, reply.Evacuations = m.self, m.watching, m.evacuations
 	if theirs.Announcement {
 		return reply, nil
 	}
--- a/plugin/roster/roster.go
+++ b/plugin/roster/roster.go
@@ -22,6 +22,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/mangomast/mangomast/evacuation"
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
@@ -133,7 +134,10 @@
 	entryHandlers        []func(membership.Entry)
 	storeTimeoutHandlers []func()
 	departureHandlers    []func(membership.Departure)
-	watchAssignment      membership.WatchAssignment
+	evacuationHandlers   []func(evacuation.Set, string)
+	// evacuations is the set of evacuated failure domains that exchanges carry.
+	evacuations     evacuation.Set
+	watchAssignment membership.WatchAssignment
 	// watching is true while this node has a working watch of the configuration.
 	watching bool
 	// groupView is the view from which group, ordered by rank, and peers were
@@ -373,6 +377,14 @@
 func (m *Module) SetConfigRevision(revision int64, fromStore bool) {
 	m.mu.Lock()
 	m.self.ConfigRevision = revision
+	m.mu.Unlock()
+	m.spread(fromStore)
+}
+
+// spread starts exchanges with some random nodes, and with this node's group if
+// what it has to tell came from the store.
+func (m *Module) spread(fromStore bool) {
+	m.mu.Lock()
 	group := m.rankedGroup()
 	m.mu.Unlock()
 	peers := m.correspondents()
@@ -396,12 +408,13 @@
 // other nodes send no new requests, and revokes the lease.
 func (m *Module) Leave() {
 	m.Announce(func(e *membership.Entry) { e.State = membership.Gone })
+	lease := m.currentLease()
+	if lease == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	go func() {
 		defer cancel()
-		m.mu.Lock()
-		lease := m.lease
-		m.mu.Unlock()
 		if err := m.store.Revoke(ctx, lease); err != nil {
 			m.log.WithError(err).Info("revoking the lease failed; own entry stays in the store until the lease expires")
 		}
--- a/plugin/sidecar/sidecar.go
+++ b/plugin/sidecar/sidecar.go
@@ -6,6 +6,7 @@
 import (
 	// The modules register themselves.
 	_ "github.com/mangomast/mangomast/plugin/entry"
+	_ "github.com/mangomast/mangomast/plugin/evacuation"
 	_ "github.com/mangomast/mangomast/plugin/follower"
 	_ "github.com/mangomast/mangomast/plugin/guard"
 	_ "github.com/mangomast/mangomast/plugin/mesh"
