--- a/config/regions.go
+++ b/config/regions.go
@@ -15,6 +15,12 @@
 	return len(route.Regions) > 0 || organisation != nil && len(organisation.Regions) > 0
 }
 
+// BoundToRegions is like the function of that name, for the IDs that MayServe takes.
+func (s *Snapshot) BoundToRegions(route, organisation string) bool {
+	matched := s.routesByID[route]
+	return matched != nil && len(matched.Regions) > 0 || BoundToRegions(&Route{}, s.Organisation(organisation))
+}
+
 // MayServe reports whether requests of the route and the organisation with these
 // IDs may run in the region. The organisation is empty for requests without a key.
 // What the snapshot does not contain binds to no region: the node where the request
--- a/config/regions_test.go
+++ b/config/regions_test.go
@@ -37,6 +37,8 @@
 		assert.Equal(t, snapshot.MayServe(c.route, c.organisation, "south"), c.south, "%v", c)
 	}
 	assert.Assert(t, !BoundToRegions(&doc.Routes[0], nil) && !BoundToRegions(&doc.Routes[0], &doc.Organisations[0]))
+	assert.Assert(t, !snapshot.BoundToRegions("open", "free") && !snapshot.BoundToRegions("unknown", ""))
+	assert.Assert(t, snapshot.BoundToRegions("north", "") && snapshot.BoundToRegions("open", "southern"))
 	assert.Assert(t, BoundToRegions(&doc.Routes[1], nil) && BoundToRegions(&doc.Routes[0], &doc.Organisations[1]))
 }
 
--- a/plugin/dispatch/dispatch.go
+++ b/plugin/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/ledger"
@@ -54,6 +55,7 @@
 	log          log.Interface
 	mesh         *mesh.Mesh
 	members      membership.Source
+	config       config.Source
 	local        *inbound.Module
 	picker       routing.Picker
 	retries      *retryplugin.Module
@@ -74,7 +76,7 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	if err := kernel.Resolve(ctx, &m.mesh, &m.members, &m.local, &m.retries); err != nil {
+	if err := kernel.Resolve(ctx, &m.mesh, &m.members, &m.config, &m.local, &m.retries); err != nil {
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
--- a/plugin/dispatch/pinned.go
+++ b/plugin/dispatch/pinned.go
@@ -23,7 +23,7 @@
 
 // Pin implements Dispatcher.
 func (m *Module) Pin(head *call.Head) *call.Reply {
-	attempt := routing.Attempt{Head: head, Now: m.clock.Now()}
+	attempt := routing.Attempt{Head: head, Now: m.clock.Now(), Excluded: m.excluded(head)}
 	entry, ok := m.picker.Pick(attempt, m.members.View().Service(head.Service))
 	if !ok {
 		return call.Refuse(call.CodeNoUpstream, "no VM takes work for the service")
--- a/plugin/dispatch/policy.go
+++ b/plugin/dispatch/policy.go
@@ -22,7 +22,7 @@
 
 func retriableRefusal(code call.Code) bool {
 	switch code {
-	case call.CodeOverloaded, call.CodeLeaving, call.CodeNoUpstream, call.CodeConnectionLost:
+	case call.CodeOverloaded, call.CodeLeaving, call.CodeNoUpstream, call.CodeConnectionLost, call.CodeForeignRegion:
 		return true
 	}
 	return false
@@ -45,7 +45,7 @@
 		return false
 	}
 	switch reply.Code {
-	case call.CodeConnectionLost, call.CodeLeaving, call.CodeNoUpstream:
+	case call.CodeConnectionLost, call.CodeLeaving, call.CodeNoUpstream, call.CodeForeignRegion:
 		return true
 	}
 	return false
--- a/plugin/dispatch/run.go
+++ b/plugin/dispatch/run.go
@@ -60,7 +60,19 @@
 }
 
 func (d *dispatch) attempt() routing.Attempt {
-	return routing.Attempt{Head: &d.head, Tried: d.tried, Now: d.clock.Now()}
+	return routing.Attempt{Head: &d.head, Tried: d.tried, Now: d.clock.Now(), Excluded: d.excluded(&d.head)}
+}
+
+// excluded returns the function that reports the VMs outside the regions that the
+// request's route and organisation are bound to, and nil if they are not bound.
+func (m *Module) excluded(head *call.Head) func(membership.Entry) bool {
+	snapshot := m.config.Snapshot()
+	if snapshot == nil || !snapshot.BoundToRegions(head.Route, head.Organisation) {
+		return nil
+	}
+	return func(entry membership.Entry) bool {
+		return !snapshot.MayServe(head.Route, head.Organisation, entry.Region)
+	}
 }
 
 // callerReply turns a refusal into an unknown outcome if an earlier attempt of
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -93,6 +93,7 @@
 	log        log.Interface
 	vm         string
 	config     config.Source
+	region     string
 	metrics    *metrics
 	running    *call.Registry
 	routes     *routeLevels
@@ -140,6 +141,7 @@
 	if err != nil {
 		return err
 	}
+	m.region = ctx.Node.Region
 	if m.config, err = kernel.Require[config.Source](ctx); err != nil {
 		return err
 	}
--- a/plugin/inbound/key.go
+++ b/plugin/inbound/key.go
@@ -17,3 +17,13 @@
 	}
 	return nil
 }
+
+// checkRegion refuses a request whose route or organisation is bound to other
+// regions, which the sending node may not know yet.
+func (m *Module) checkRegion(head *call.Head) *call.Reply {
+	snapshot := m.config.Snapshot()
+	if snapshot == nil || snapshot.MayServe(head.Route, head.Organisation, m.region) {
+		return nil
+	}
+	return call.Refuse(call.CodeForeignRegion, "the route or the organisation is bound to other regions")
+}
--- a/plugin/inbound/serve.go
+++ b/plugin/inbound/serve.go
@@ -29,6 +29,9 @@
 	if refusal := m.checkKey(head); refusal != nil {
 		return refusal, nil
 	}
+	if refusal := m.checkRegion(head); refusal != nil {
+		return refusal, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, head.Timeout)
 	slot, refusal := local.gate.Acquire(ctx, head)
 	if refusal != nil {
