--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -68,8 +68,9 @@
 				n.watched = now
 			case 2:
 				if n.watched > 0 {
-					n.set = n.set.Apply(h[n.watched+1-firstRevision : now+1-firstRevision])
-					n.watched = now
+					to := min(now, n.watched+int64(rapid.IntRange(0, 3).Draw(t, "events")))
+					n.set = n.set.Apply(h[n.watched+1-firstRevision : to+1-firstRevision])
+					n.watched = to
 				}
 			case 3:
 				other := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "peer")]
