Read what services say about cold upstreams

Cause: the document's rate and time for cold upstreams, and the coldness that health answers tell, were not read.

--- a/config/document.go
+++ b/config/document.go
@@ -102,6 +102,13 @@
 	// Connections is the maximum number of connections to one upstream from
 	// all callers. 0 means the number that the upstream announces.
 	Connections int `json:"connections,omitempty"`
+	// ColdRate is how many requests a second a cold VM bears; 0 for no limit.
+	ColdRate float64 `json:"cold_rate,omitempty"`
+	// ColdStart is how long a VM is cold after its start.
+	ColdStart jsonc.Duration `json:"cold_start,omitempty"`
+	// HealthPath is the path of the upstreams' health answers; empty if there are
+	// none.
+	HealthPath string `json:"health_path,omitempty"`
 }
 
 // AllOrganisations is the OpenTo value of a route that is open to all
--- a/config/validate.go
+++ b/config/validate.go
@@ -85,7 +85,17 @@
 func (v *validator) services(services []Service) stringSet {
 	seen := stringSet{}
 	for i, s := range services {
-		v.id(fmt.Sprintf("/services/%d/id", i), s.ID, seen)
+		pointer := fmt.Sprintf("/services/%d", i)
+		v.id(pointer+"/id", s.ID, seen)
+		if !(s.ColdRate >= 0) {
+			v.findings.Addf(pointer+"/cold_rate", "must not be negative")
+		}
+		if s.ColdStart < 0 {
+			v.findings.Addf(pointer+"/cold_start", "must not be negative")
+		}
+		if s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
+			v.findings.Addf(pointer+"/health_path", "must begin with /")
+		}
 	}
 	return seen
 }
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -61,6 +61,17 @@
 	// if the response names the request. A response that does not may be a late copy
 	// of an earlier one, unless its connection has carried no other request since.
 	Classify(head *call.Head, resp *http.Response) (verdict Verdict, attributed bool)
+	// ReadHealth reads an upstream's answer to a question about its health.
+	ReadHealth(resp *http.Response) Health
+}
+
+// Health is an upstream's answer to a question about its health.
+type Health struct {
+	// Instance is the incarnation that answered; empty if the answer does not tell.
+	Instance string
+	// Cold is how much longer the upstream stays cold; it is valid if TellsCold.
+	Cold      time.Duration
+	TellsCold bool
 }
 
 // Documents locates and decodes the configuration in the store.
