Let a pacer hold requests back in the queue

Cause: the queue starts requests by slots alone. Change: Options.Pacer is asked before a request starts. While it holds requests back the queue keeps what it lets through within the longest wait, so the least important are refused at once, and State.Limit tells others the lower limit.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -5,6 +5,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/mangomast/mangomast/call"
@@ -56,6 +57,20 @@
 	// multiplied by coldWaitFactor.
 	MaxWait time.Duration
 	Limit   LimitOptions
+	// Pacer, if set, bounds the rate at which requests start.
+	Pacer Pacer
+}
+
+// Pacer bounds the rate at which requests start.
+type Pacer interface {
+	// Admit reports whether the request may start now. If not, it is asked again at
+	// the next Submit, Finish or Tick.
+	Admit(r *Request, now time.Time) bool
+	// Done is called once for each admitted request, when it has ended.
+	Done(r *Request)
+	// Rate returns the requests a second that it admits at present; 0 if it does not
+	// hold requests back.
+	Rate(now time.Time) float64
 }
 
 const (
@@ -129,7 +144,7 @@
 	}
 	c.queue.push(r)
 	actions := c.startQueued(nil, now)
-	if c.queue.len() > c.queueCapacity() {
+	if c.queue.len() > c.queueCapacity(now) {
 		c.dropped++
 		actions = append(actions, Action{Request: c.queue.evict(), Code: call.CodeOverloaded})
 	}
@@ -154,6 +169,9 @@
 // actions that follow.
 func (c *Controller) Finish(done Completion, now time.Time) []Action {
 	delete(c.running, done.Request)
+	if c.opts.Pacer != nil {
+		c.opts.Pacer.Done(done.Request)
+	}
 	latency := now.Sub(done.Request.started)
 	if done.Answered {
 		c.serviceEstimate.add(latency)
@@ -189,8 +207,12 @@
 }
 
 // queueCapacity returns how many requests may wait: as many as are expected to
-// start within maxWait, at least expectedLimit and at most Options.Queue.
-func (c *Controller) queueCapacity() int {
+// start within maxWait, at least expectedLimit and at most Options.Queue. While the
+// pacer holds requests back, it is the number that it admits within maxWait.
+func (c *Controller) queueCapacity(now time.Time) int {
+	if rate := c.pacedRate(now); rate > 0 {
+		return min(c.opts.Queue, max(1, int(rate*c.maxWait().Seconds())))
+	}
 	if c.serviceEstimate.mean == 0 {
 		return c.opts.Queue
 	}
@@ -199,6 +221,25 @@
 	return min(c.opts.Queue, max(limit, int(served)))
 }
 
+// pacedRate returns the requests a second that the pacer admits; 0 if it does not
+// hold requests back.
+func (c *Controller) pacedRate(now time.Time) float64 {
+	if c.opts.Pacer == nil {
+		return 0
+	}
+	return c.opts.Pacer.Rate(now)
+}
+
+// concurrency returns the number of requests that may run: the limit, or those that
+// run at once at the pacer's rate, so that others send no more.
+func (c *Controller) concurrency(now time.Time) int {
+	rate := c.pacedRate(now)
+	if rate <= 0 {
+		return c.limit.Value()
+	}
+	return max(1, min(c.limit.Value(), int(math.Ceil(rate*c.serviceEstimate.mean.Seconds()))))
+}
+
 // expectedLimit returns the number of slots during warm-up, as the limit is
 // expected to reach it, and the current limit afterwards.
 func (c *Controller) expectedLimit() int {
@@ -228,6 +269,10 @@
 			actions = append(actions, Action{Request: r, Code: call.CodeDeadline})
 			continue
 		}
+		if c.opts.Pacer != nil && !c.opts.Pacer.Admit(r, now) {
+			c.queue.push(r)
+			break
+		}
 		c.running[r] = true
 		r.started = now
 		c.queue.started(r)
@@ -262,7 +307,7 @@
 // State returns the current state.
 func (c *Controller) State(now time.Time) State {
 	return State{
-		Running: len(c.running), Queued: c.queue.len(), Limit: c.limit.Value(), Expected: c.expectedLimit(),
+		Running: len(c.running), Queued: c.queue.len(), Limit: c.concurrency(now), Expected: c.expectedLimit(),
 		Service: c.serviceTime(now), Dropped: c.dropped,
 	}
 }
