Hold cold upstreams to what they bear

Change: the guard asks warming.Limiter before a request is handed over, tells it when the request was written, asks the upstream's health when the allowance is nearly used, and tells other nodes how long the upstream is cold. Only services with a cold rate are concerned. The tolerance comes from the bounds where the deployment has them. TestLargeConfigurationReachesAllNodes fails on the busy machine with and without this change (3 of 5 each, side by side).

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -62,6 +62,27 @@
 	// Departed is the last upstream incarnation of the VM that gave notice of
 	// leaving. A later incarnation of the node must not use it again.
 	Departed Departure `cbor:"14,keyasint,omitzero" json:"departed,omitzero"`
+	// Cold is the last coldness of the upstream that the node announced.
+	Cold Coldness `cbor:"15,keyasint,omitzero" json:"cold,omitzero"`
+}
+
+// Coldness tells that an upstream is cold and takes fewer requests.
+type Coldness struct {
+	// Number increases with each announced change within an incarnation. The other
+	// fields apply from the time at which a node learns of the number, so that no
+	// clocks are compared.
+	Number uint64 `cbor:"1,keyasint" json:"number"`
+	// For is how much longer the upstream stays cold; 0 if it is warm.
+	For time.Duration `cbor:"2,keyasint,omitempty" json:"for,omitempty"`
+	// Slots is the number of requests that the cold upstream runs at once.
+	Slots int `cbor:"3,keyasint,omitempty" json:"slots,omitempty"`
+}
+
+// maxColdness bounds Coldness.For.
+const maxColdness = 24 * time.Hour
+
+func (c Coldness) valid() bool {
+	return c.For >= 0 && c.For <= maxColdness && c.Slots >= 0 && c.Slots <= maxSlots
 }
 
 // Departure identifies an upstream incarnation that gave notice of leaving.
@@ -99,6 +120,8 @@
 		return errors.Errorf("state %d is unknown", e.State)
 	case e.Slots < 0 || e.Slots > maxSlots:
 		return errors.Errorf("%d slots are out of range", e.Slots)
+	case !e.Cold.valid():
+		return errors.New("coldness is out of range")
 	case e.Version > maxVersion:
 		return errors.Errorf("version %d is out of range", e.Version)
 	case e.Incarnation > uint64(now.Add(maxClockSkew).UnixNano()):
--- a/plugin/guard/gate.go
+++ b/plugin/guard/gate.go
@@ -23,7 +23,9 @@
 
 func newGate(m *Module, slots int) *gate {
 	g := &gate{module: m}
-	g.queue = waitqueue.NewQueue(admission.SlotsOptions(slots, m.MaxWait.Std()), m.clock, g.scheduleTick)
+	opts := admission.SlotsOptions(slots, m.MaxWait.Std())
+	opts.Pacer = m.cold
+	g.queue = waitqueue.NewQueue(opts, m.clock, g.scheduleTick)
 	return g
 }
 
@@ -78,5 +80,8 @@
 func (g *gate) retryAfter() time.Duration {
 	state := g.queue.State()
 	drain := time.Duration(float64(state.Service) * float64(state.Queued+state.Running) / float64(max(1, state.Limit)))
+	if wait := g.module.cold.wait(state.Queued); wait > drain {
+		drain = wait
+	}
 	return min(maxRetryAfter, time.Duration((0.5+rand.Float64())*float64(drain)))
 }
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -16,6 +16,7 @@
 
 	"github.com/mangomast/mangomast/admission"
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/dialect"
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/internal/bodymemory"
@@ -79,7 +80,11 @@
 	// MaxWait is the maximum time in the queue. If the mean run time of requests
 	// is longer, they may wait for that time instead.
 	MaxWait jsonc.Duration `json:"max_wait"`
+	// ColdTolerance is how far a cold upstream may be loaded above its rate.
+	ColdTolerance ColdTolerance `json:"cold_tolerance"`
 
+	cold    *coldLimit
+	config  config.Source
 	clock   clockwork.Clock
 	log     log.Interface
 	roster  *roster.Module
@@ -123,11 +128,12 @@
 	if m.MaxWait <= 0 {
 		findings.Addf(prefix+"/max_wait", "must be above 0s")
 	}
+	m.ColdTolerance.validate(prefix+"/cold_tolerance", findings)
 }
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	if err := kernel.Resolve(ctx, &m.roster, &m.dialect); err != nil {
+	if err := kernel.Resolve(ctx, &m.roster, &m.dialect, &m.config); err != nil {
 		return err
 	}
 	fabric, err := kernel.Require[*mesh.Mesh](ctx)
@@ -136,6 +142,7 @@
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.metrics = newMetrics(ctx.Registry, m.load)
+	m.cold = newColdLimit(m)
 	m.gate = newGate(m, 1)
 	m.fanout = retry.NewFanout()
 	m.answers = bodymemory.NewBudget(answerMemoryBytes, 0)
@@ -169,11 +176,12 @@
 // Busy reports whether a request waits for or runs on the local upstream.
 func (m *Module) Busy() bool { return m.active.Load() > 0 }
 
-func (m *Module) load() call.Load {
+func (m *Module) load() call.Load { return m.currentGate().load() }
+
+func (m *Module) currentGate() *gate {
 	m.mu.Lock()
-	g := m.gate
-	m.mu.Unlock()
-	return g.load()
+	defer m.mu.Unlock()
+	return m.gate
 }
 
 // Serve runs a request on the local upstream, or refuses it. It blocks until
@@ -191,6 +199,7 @@
 		cancel()
 		m.active.Add(-1)
 	}
+	m.cold.configure(m.config.Snapshot())
 	slot, refusal := g.acquire(ctx, head)
 	if refusal != nil {
 		end()
@@ -199,7 +208,7 @@
 	}
 	m.fanout.RecordRun()
 	ended := m.lineage.Add(m.deadline(ctx, head), lineage.ParentOf(head))
-	reply, answer := m.forward(ctx, upstream, head, body)
+	reply, answer := m.forward(m.cold.watchWrite(ctx, slot), upstream, head, body)
 	if m.runs.Add(1)%runsPerCostReport == 0 {
 		reply.CalleeCosts = m.fanout.Costs()
 	}
--- a/plugin/guard/metrics.go
+++ b/plugin/guard/metrics.go
@@ -10,6 +10,9 @@
 	queueWait prometheus.Histogram
 	upstream  prometheus.Histogram
 	refused   *prometheus.CounterVec
+	// health counts questions about the upstream's health.
+	health *prometheus.CounterVec
+	cold   prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer, load func() call.Load) *metrics {
@@ -23,8 +26,14 @@
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "mangomast_guard_refused_total", Help: "Requests that were not run, by reason.",
 		}, []string{"reason"}),
+		health: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangomast_guard_health_questions_total", Help: "Questions about the upstream's health, by what the answer tells.",
+		}, []string{"answer"}),
+		cold: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "mangomast_guard_cold_seconds", Help: "How much longer the local upstream stays cold, as last learned.",
+		}),
 	}
-	registerer.MustRegister(m.queueWait, m.upstream, m.refused,
+	registerer.MustRegister(m.queueWait, m.upstream, m.refused, m.health, m.cold,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "mangomast_guard_running", Help: "Requests that run on the local upstream."},
 			func() float64 { return float64(load().Running) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "mangomast_guard_queued", Help: "Requests that wait for the local upstream."},
--- a/plugin/guard/upstream.go
+++ b/plugin/guard/upstream.go
@@ -36,8 +36,13 @@
 	Slots    int
 	// Leaving is true if the upstream accepts no new requests.
 	Leaving bool
+	// ColdFor is how much longer the upstream stays cold, or ColdUnknown.
+	ColdFor time.Duration
 }
 
+// ColdUnknown is the Announcement.ColdFor of an upstream that does not tell.
+const ColdUnknown time.Duration = -1
+
 func (a *Announcement) departure() membership.Departure {
 	return membership.Departure{Instance: a.Instance, Born: a.Born}
 }
@@ -85,12 +90,15 @@
 		m.gate = newGate(m, a.Slots)
 		m.pool.CloseIdle()
 	}
+	m.cold.announced(a, !sameIncarnation)
+	m.cold.configure(m.config.Snapshot())
 	state := membership.Ready
 	if a.Leaving || m.departures.has(&a) || (sameIncarnation && m.state == membership.Leaving) {
 		state = membership.Leaving
 	}
 	m.upstream = a
 	m.setState(state, "announcement")
+	m.cold.tellOthers(m.gate)
 	return nil
 }
 
--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -280,3 +280,33 @@
 		assert.Assert(t, spilled > 0)
 	})
 }
+
+// TestColdVMGetsFewRequests checks that a VM which announces that it is cold gets its
+// share of the requests only once the announced time has passed, and that the
+// announcement counts once.
+func TestColdVMGetsFewRequests(t *testing.T) {
+	b := newTestBalancer(3, nil)
+	list := entries(4, "riga-a")
+	count := func(now time.Time) int {
+		picked := 0
+		for range 400 {
+			if send(b, list, now, func(string) *call.Reply { return answered(http.StatusOK) }) == "vm-0" {
+				picked++
+			}
+		}
+		return picked
+	}
+	now := testStart.Add(time.Minute)
+	count(now)
+	list = slices.Clone(list)
+	list[0].Cold = membership.Coldness{Number: 1, For: 3 * time.Second, Slots: 1}
+	now = now.Add(time.Minute)
+	if picked := count(now); picked > 20 {
+		t.Fatalf("a cold VM got %d of 400 requests", picked)
+	}
+	list = slices.Clone(list)
+	list[0].Version++
+	if picked := count(now.Add(4 * time.Second)); picked < 60 {
+		t.Fatalf("a VM that is warm again got %d of 400 requests", picked)
+	}
+}
--- a/routing/vm.go
+++ b/routing/vm.go
@@ -19,6 +19,11 @@
 	slots       int
 	// rampStart is when the VM became a candidate or returned from ejection.
 	rampStart time.Time
+	// coldNumber is the last coldness of the VM that is known, coldUntil its end and
+	// coldShare the share of its slots that it then uses.
+	coldNumber uint64
+	coldUntil  time.Time
+	coldShare  float64
 	// lastListed is when the VM was last a candidate.
 	lastListed time.Time
 
@@ -61,11 +66,19 @@
 	}
 	v.slots = max(1, entry.Slots)
 	v.lastListed = now
+	if entry.Cold.Number != v.coldNumber {
+		v.coldNumber, v.coldUntil = entry.Cold.Number, now.Add(entry.Cold.For)
+		v.coldShare = min(1, float64(max(1, entry.Cold.Slots))/float64(v.slots))
+	}
 }
 
-// ramp returns the VM's weight during its ramp, above 0 and at most 1.
+// ramp returns the VM's weight during its ramp or while it is cold, above 0 and at
+// most 1.
 func (v *vm) ramp(now time.Time, length time.Duration) float64 {
 	const start = 0.1
+	if now.Before(v.coldUntil) {
+		return v.coldShare
+	}
 	if length <= 0 {
 		return 1
 	}
