--- a/config/document.go
+++ b/config/document.go
@@ -73,6 +73,9 @@
 	Importance uint8 `json:"importance,omitempty"`
 	// Suspended makes nodes refuse the organisation's requests.
 	Suspended bool `json:"suspended,omitempty"`
+	// Regions are the regions in which the organisation's requests may run; all
+	// if empty. Regions of the route bind as well.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Limits bounds the requests and connections of callers.
@@ -102,6 +105,13 @@
 	// Connections is the maximum number of connections to one upstream from
 	// all callers. 0 means the number that the upstream announces.
 	Connections int `json:"connections,omitempty"`
+	// ColdRate is how many requests a second a cold VM bears; 0 for no limit.
+	ColdRate float64 `json:"cold_rate,omitempty"`
+	// ColdStart is how long a VM is cold after its start.
+	ColdStart jsonc.Duration `json:"cold_start,omitempty"`
+	// HealthPath is the path of the upstreams' health answers; empty if there are
+	// none.
+	HealthPath string `json:"health_path,omitempty"`
 }
 
 // AllOrganisations is the OpenTo value of a route that is open to all
@@ -156,6 +166,9 @@
 	// response bodies.
 	MaxRequestBytes int64 `json:"max_request_bytes"`
 	MaxAnswerBytes  int64 `json:"max_answer_bytes"`
+	// Regions are the regions in which the route's requests may run; all if
+	// empty. Regions of the organisation bind as well.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // FailureDomain is a set of VMs that may fail together.
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -61,6 +61,17 @@
 	// if the response names the request. A response that does not may be a late copy
 	// of an earlier one, unless its connection has carried no other request since.
 	Classify(head *call.Head, resp *http.Response) (verdict Verdict, attributed bool)
+	// ReadHealth reads an upstream's answer to a question about its health.
+	ReadHealth(resp *http.Response) Health
+}
+
+// Health is an upstream's answer to a question about its health.
+type Health struct {
+	// Instance is the incarnation that answered; empty if the answer does not tell.
+	Instance string
+	// Cold is how much longer the upstream stays cold; it is valid if TellsCold.
+	Cold      time.Duration
+	TellsCold bool
 }
 
 // Documents locates and decodes the configuration in the store.
@@ -72,6 +83,17 @@
 	Decode(value []byte) (Decoded, error)
 }
 
+// Evacuations locates the operators' requests to evacuate failure domains in the
+// store. A failure domain is evacuated while its key exists, whatever the value is.
+type Evacuations interface {
+	// Prefix is the prefix of the keys of all evacuations and of Documents.Key, so
+	// that one read or watch covers them all.
+	Prefix() string
+	// Domain returns the failure domain that a key evacuates; ok is false for any
+	// other key.
+	Domain(key string) (domain string, ok bool)
+}
+
 // Decoded is a configuration document that was read from the store.
 type Decoded struct {
 	// Document is valid.
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -16,6 +16,7 @@
 
 	"github.com/mangomast/mangomast/admission"
 	"github.com/mangomast/mangomast/call"
+	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/dialect"
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/internal/bodymemory"
@@ -26,6 +27,7 @@
 	"github.com/mangomast/mangomast/lineage"
 	"github.com/mangomast/mangomast/membership"
 	"github.com/mangomast/mangomast/mesh"
+	"github.com/mangomast/mangomast/plugin/evacuation"
 	"github.com/mangomast/mangomast/plugin/follower"
 	"github.com/mangomast/mangomast/plugin/roster"
 	"github.com/mangomast/mangomast/retry"
@@ -63,7 +65,7 @@
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    ID,
-		Needs: []kernel.ID{roster.ID, follower.ID, follower.DialectID},
+		Needs: []kernel.ID{roster.ID, follower.ID, follower.DialectID, evacuation.ID},
 		New: func() kernel.Module {
 			return &Module{MaxWait: jsonc.Duration(admission.SlotsMaxWait), BeatInterval: jsonc.Duration(defaultAnnouncementInterval)}
 		},
@@ -79,11 +81,16 @@
 	// MaxWait is the maximum time in the queue. If the mean run time of requests
 	// is longer, they may wait for that time instead.
 	MaxWait jsonc.Duration `json:"max_wait"`
+	// ColdTolerance is how far a cold upstream may be loaded above its rate.
+	ColdTolerance ColdTolerance `json:"cold_tolerance"`
 
+	cold    *coldLimit
+	config  config.Source
 	clock   clockwork.Clock
 	log     log.Interface
 	roster  *roster.Module
 	dialect dialect.Upstreams
+	places  *places
 	metrics *metrics
 	pool    *connpool.Pool
 	answers *bodymemory.Budget
@@ -123,11 +130,12 @@
 	if m.MaxWait <= 0 {
 		findings.Addf(prefix+"/max_wait", "must be above 0s")
 	}
+	m.ColdTolerance.validate(prefix+"/cold_tolerance", findings)
 }
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	if err := kernel.Resolve(ctx, &m.roster, &m.dialect); err != nil {
+	if err := kernel.Resolve(ctx, &m.roster, &m.dialect, &m.config); err != nil {
 		return err
 	}
 	fabric, err := kernel.Require[*mesh.Mesh](ctx)
@@ -135,7 +143,11 @@
 		return err
 	}
 	m.clock, m.log = ctx.Clock, ctx.Log
+	if m.places, err = newPlaces(ctx); err != nil {
+		return err
+	}
 	m.metrics = newMetrics(ctx.Registry, m.load)
+	m.cold = newColdLimit(m)
 	m.gate = newGate(m, 1)
 	m.fanout = retry.NewFanout()
 	m.answers = bodymemory.NewBudget(answerMemoryBytes, 0)
@@ -169,11 +181,12 @@
 // Busy reports whether a request waits for or runs on the local upstream.
 func (m *Module) Busy() bool { return m.active.Load() > 0 }
 
-func (m *Module) load() call.Load {
+func (m *Module) load() call.Load { return m.currentGate().load() }
+
+func (m *Module) currentGate() *gate {
 	m.mu.Lock()
-	g := m.gate
-	m.mu.Unlock()
-	return g.load()
+	defer m.mu.Unlock()
+	return m.gate
 }
 
 // Serve runs a request on the local upstream, or refuses it. It blocks until
@@ -181,6 +194,9 @@
 // ends. The caller must close the returned body, which may be nil.
 func (m *Module) Serve(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
 	upstream, g, refusal := m.readyUpstream(head)
+	if refusal == nil {
+		refusal = m.checkPlace(head)
+	}
 	if refusal != nil {
 		refusal.Load = m.load()
 		return refusal, nil
@@ -191,15 +207,23 @@
 		cancel()
 		m.active.Add(-1)
 	}
+	m.cold.configure(m.config.Snapshot())
 	slot, refusal := g.acquire(ctx, head)
 	if refusal != nil {
 		end()
 		refusal.Load = g.load()
 		return refusal, nil
 	}
+	// An evacuation may have begun while the request waited.
+	if refusal := m.checkPlace(head); refusal != nil {
+		g.release(slot, refusal)
+		end()
+		refusal.Load = g.load()
+		return refusal, nil
+	}
 	m.fanout.RecordRun()
 	ended := m.lineage.Add(m.deadline(ctx, head), lineage.ParentOf(head))
-	reply, answer := m.forward(ctx, upstream, head, body)
+	reply, answer := m.forward(m.cold.watchWrite(ctx, slot), upstream, head, body)
 	if m.runs.Add(1)%runsPerCostReport == 0 {
 		reply.CalleeCosts = m.fanout.Costs()
 	}
