Count control messages and their bytes by purpose

Cause: the metrics of the mesh are by class of connection, so an operator could not tell which purpose fills a link between regions. Result: not measured; TestExchangeCountsBytesByPurpose.

--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -96,6 +96,33 @@
 	KindProgress
 )
 
+// String returns the value of the purpose label in metrics.
+func (k Kind) String() string {
+	switch k {
+	case KindRoster:
+		return "roster"
+	case KindDocument:
+		return "document"
+	case KindPool:
+		return "pool"
+	case KindLevels:
+		return "levels"
+	case KindQuarantine:
+		return "quarantine"
+	case KindClaim, KindIdempotencyKey:
+		return "claims"
+	case KindHandover, KindHandoverLookup:
+		return "answers"
+	case KindQuota, KindQuotaRecall, KindQuotaHandover, KindQuotaLoan, KindQuotaExtend, KindQuotaClose:
+		return "quota"
+	case KindMembers, KindProbe, KindDirectory:
+		return "membership"
+	case KindRevision, KindProgress:
+		return "revision"
+	}
+	return "other"
+}
+
 const (
 	// InlineBytes is the size of the part of a body that is sent in the first
 	// frame; smaller bodies need no chunks.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -128,6 +128,9 @@
 	ringFull          *prometheus.CounterVec
 	pings             prometheus.Counter
 	handshakeFailures prometheus.Counter
+	// messages and messageBytes count the control messages that this node began.
+	messages     *prometheus.CounterVec
+	messageBytes *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -152,9 +155,17 @@
 			Name: "mangomast_mesh_handshake_failures_total",
 			Help: "Connections refused because their handshake was invalid.",
 		}),
+		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangomast_mesh_messages_total",
+			Help: "Control messages that this node sent to other nodes, by purpose.",
+		}, []string{"purpose"}),
+		messageBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mangomast_mesh_message_bytes_total",
+			Help: "Bytes of the control messages that this node sent and of their answers, by purpose and direction.",
+		}, []string{"purpose", "direction"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.sentBytes, m.receivedBytes, m.ringFull, m.pings, m.handshakeFailures)
+		registerer.MustRegister(m.sentBytes, m.receivedBytes, m.ringFull, m.pings, m.handshakeFailures, m.messages, m.messageBytes)
 	}
 	return m
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
 	"github.com/mangomast/mangomast/internal/bodymemory"
@@ -369,3 +370,18 @@
 	<-r
 	return 0, io.EOF
 }
+
+// TestExchangeCountsBytesByPurpose sends two messages with answers of known size.
+func TestExchangeCountsBytesByPurpose(t *testing.T) {
+	server, address := newTestMesh(t, "server", testSecret)
+	server.Handle(KindRoster, Typed(func(_ context.Context, _ Identity, text string) (string, error) { return text + text, nil }))
+	client, _ := newTestMesh(t, "client", testSecret)
+	for range 2 {
+		var answer string
+		assert.NilError(t, client.Exchange(t.Context(), Peer{Address: address}, KindRoster, "ten bytes!", &answer))
+	}
+	const header = 1
+	assert.Equal(t, testutil.ToFloat64(client.metrics.messages.WithLabelValues("roster")), 2.)
+	assert.Equal(t, testutil.ToFloat64(client.metrics.messageBytes.WithLabelValues("roster", "sent")), 2.*(header+10))
+	assert.Equal(t, testutil.ToFloat64(client.metrics.messageBytes.WithLabelValues("roster", "received")), 2.*(header+20))
+}
--- a/mesh/typed.go
+++ b/mesh/typed.go
@@ -59,6 +59,9 @@
 	if err != nil {
 		return err
 	}
+	purpose := kind.String()
+	m.metrics.messages.WithLabelValues(purpose).Inc()
+	m.metrics.messageBytes.WithLabelValues(purpose, "sent").Add(float64(len(data)))
 	answer, err := m.Do(ctx, peer, &Request{Kind: kind, Class: Control, Body: data})
 	if err != nil {
 		return err
@@ -77,5 +80,6 @@
 	if err != nil {
 		return errors.Wrap(err, "read body of control answer")
 	}
+	m.metrics.messageBytes.WithLabelValues(purpose, "received").Add(float64(len(body)))
 	return Decode(body, response)
 }
