Let relays list the store for their failure domain

Cause: each node listed the whole fleet every 3 s and five times after its start, 50 kB a second at 300 VMs. The listings of one region filled the 60 Mbit/s between regions, so pools of the other region did not answer within 250 ms and callers got 429 ("pool lost true" in the request log), renewals of leases failed, and a killed fleet needed 7 s to serve again.

A first exchange returns what is newer than the listing of the node that asks, not the fleet. A starting node lists its failure domain and takes the rest from its relays. Entries in the store are CBOR under roster/<failure domain>/<vm>. Smaller fleets list as before.

--- a/membership/roster.go
+++ b/membership/roster.go
@@ -25,14 +25,25 @@
 type Roster struct {
 	opts    RosterOptions
 	records map[string]*rosterRecord
-	// sequence increases with each change of an entry.
+	// sequence increases with each change of an entry or of whether it is listed.
 	sequence uint64
+	// listing is the newest listing of the store that the records reflect.
+	listing listing
 }
 
 type rosterRecord struct {
 	entry Entry
-	// changedAt is the roster's sequence of the entry's last change.
-	changedAt uint64
+	// changedAt is the roster's sequence of the entry's last change, and
+	// changedTime its time on this node.
+	changedAt   uint64
+	changedTime time.Time
+	// storedAt is the store's revision of the first listing that had this version
+	// of the entry; 0 if this node has made none.
+	storedAt int64
+	// listedChangedAt and listedChangedTime are those of the last change of whether
+	// the entry is listed.
+	listedChangedAt   uint64
+	listedChangedTime time.Time
 	// seen is the time of the last direct contact with the VM.
 	seen time.Time
 	// unlistedSince is when the VM's entry was first absent from the store's
@@ -63,11 +74,12 @@
 	record.entry = entry
 	record.restore()
 	r.sequence++
-	record.changedAt = r.sequence
+	record.changedAt, record.changedTime, record.storedAt = r.sequence, now, 0
 	return true
 }
 
-// Sequence returns the number of the last change of an entry.
+// Sequence returns the number of the last change of an entry or of whether it is
+// listed.
 func (r *Roster) Sequence() uint64 { return r.sequence }
 
 // ChangedSince returns the members whose entries changed after the sequence,
@@ -108,23 +120,47 @@
 // MergeListing merges a listing of the store and reports whether the roster
 // changed.
 func (r *Roster) MergeListing(entries []Entry, now time.Time) bool {
+	return r.mergeListing(entries, now, func(Entry) bool { return true })
+}
+
+// MergeDomainListing merges a listing of one failure domain and reports whether
+// the roster changed.
+func (r *Roster) MergeDomainListing(domain string, entries []Entry, now time.Time) bool {
+	return r.mergeListing(entries, now, func(e Entry) bool { return e.FailureDomain == domain })
+}
+
+// mergeListing merges a listing of the VMs for which covers returns true.
+func (r *Roster) mergeListing(entries []Entry, now time.Time, covers func(Entry) bool) bool {
 	changed := false
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.VM] = true
 		changed = r.Merge(entry, now) || changed
 		record := r.records[entry.VM]
-		record.unlistedSince = time.Time{}
+		r.setListed(record, true, now)
 		changed = record.restore() || changed
 	}
 	for vm, record := range r.records {
-		if !listed[vm] && record.unlistedSince.IsZero() {
-			record.unlistedSince = now
+		if !listed[vm] && covers(record.entry) {
+			r.setListed(record, false, now)
 		}
 	}
 	return changed
 }
 
+// setListed records whether the store lists the VM.
+func (r *Roster) setListed(record *rosterRecord, listed bool, now time.Time) {
+	if listed == record.unlistedSince.IsZero() {
+		return
+	}
+	record.unlistedSince = time.Time{}
+	if !listed {
+		record.unlistedSince = now
+	}
+	r.sequence++
+	record.listedChangedAt, record.listedChangedTime = r.sequence, now
+}
+
 // Expire removes lost VMs and deletes the records of VMs that have been removed,
 // or have left and been absent from the listing, for longer than ForgetAfter.
 // It reports whether the member list changed. Self is never removed.
--- a/plugin/roster/gossip.go
+++ b/plugin/roster/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
@@ -28,6 +29,10 @@
 	Known position `cbor:"4,keyasint,omitzero"`
 	// Announcement is true if the sender does not ask for changes.
 	Announcement bool `cbor:"5,keyasint,omitempty"`
+	// ListingRevision and ListingAge are those of the store's listing that the
+	// sender knows; 0 if it knows none.
+	ListingRevision int64         `cbor:"6,keyasint,omitempty"`
+	ListingAge      time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // answer is the response of an exchange: the receiver's own entry and, unless
@@ -43,16 +48,19 @@
 	Predecessor *membership.Entry `cbor:"4,keyasint,omitempty"`
 	// Position is the receiver's position after Entries.
 	Position position `cbor:"5,keyasint,omitzero"`
+	// Listing is what the receiver knows of the store's listing.
+	Listing membership.ForwardedListing `cbor:"6,keyasint,omitzero"`
 }
 
-// gossip exchanges entries with one other node in each round: with a node that
-// the store does not list, if there is one; with a VM that watches the
+// gossip exchanges entries with one other node in each round: with one that lists
+// the store, if the listing is old; with a node that the store does not list, if
+// there is one; with a VM that watches the
 // configuration or may do so, if none has recently reported it; otherwise with a
 // random correspondent.
 func (m *Module) gossip(ctx context.Context) error {
 	for {
 		interval := m.Gossip.Std()
-		if m.storeUnavailable.Load() {
+		if m.storeUnavailable.Load() || m.startsShared() {
 			interval /= unavailableGossipFactor
 		}
 		if err := kernel.Sleep(ctx, m.clock, interval); err != nil {
@@ -74,7 +82,7 @@
 		// off, in place of its lease.
 		correspondents = m.leastRecentDomain(correspondents)
 	}
-	for _, candidates := range [][]membership.Entry{unlisted, m.watchersToQuery(), m.mostlyRegional(correspondents), correspondents} {
+	for _, candidates := range [][]membership.Entry{m.listersToQuery(), unlisted, m.watchersToQuery(), m.mostlyRegional(correspondents), correspondents} {
 		if len(candidates) == 0 {
 			continue
 		}
@@ -108,6 +116,31 @@
 	return m.watchAssignment.ToQuery(m.rankedGroup(), m.self.VM, m.Gossip.Std()/2, m.clock.Now())
 }
 
+// listersToQuery returns the VMs of which to ask one for the listing of the store;
+// nil if this node lists the store itself or knows a recent listing.
+func (m *Module) listersToQuery() []membership.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rankedGroup()
+	if !m.sharesListings {
+		return nil
+	}
+	if m.starting.Load() {
+		// The relays list the fleet meanwhile.
+		return slices.DeleteFunc(membership.Relays(m.domain), func(e membership.Entry) bool { return e.VM == m.self.VM })
+	}
+	return membership.ListersToQuery(m.domain, m.peers, m.self.VM, m.listingAge())
+}
+
+// startsShared reports whether this node is starting in a fleet that shares
+// listings.
+func (m *Module) startsShared() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rankedGroup()
+	return m.starting.Load() && m.sharesListings
+}
+
 // mostlyRegional returns the peers of this node's region in most rounds, to
 // limit traffic between regions; in the remaining rounds it returns nil.
 func (m *Module) mostlyRegional(peers []membership.Entry) []membership.Entry {
@@ -140,6 +173,7 @@
 	m.mergeEntries(got.Self, got.Watches, got.Entries)
 	if !announcement {
 		m.advance(peer.VM, got.Position)
+		m.mergeForwardedListing(peer.VM, got.Listing)
 	}
 	if got.Predecessor != nil {
 		m.handlePredecessor(*got.Predecessor)
@@ -152,7 +186,39 @@
 func (m *Module) digestFor(vm string, announcement bool) digest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return digest{Self: m.self, Watches: m.watching, Known: m.known[vm], Announcement: announcement}
+	request := digest{Self: m.self, Watches: m.watching, Known: m.known[vm], Announcement: announcement}
+	m.rankedGroup()
+	if m.sharesListings && !m.incomplete[vm] {
+		request.ListingAge, _ = m.roster.ListingAge(m.clock.Now())
+		request.ListingRevision = m.roster.ListingRevision()
+	}
+	return request
+}
+
+// mergeForwardedListing merges what the peer knows of the store's listing, unless
+// this node lists the store itself.
+func (m *Module) mergeForwardedListing(vm string, forwarded membership.ForwardedListing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rankedGroup()
+	if !m.sharesListings {
+		return
+	}
+	now := m.clock.Now()
+	changed, current := m.roster.MergeForwardedListing(forwarded, now)
+	if !current && !m.incomplete[vm] {
+		// The next exchange requests the listing in full, once.
+		m.incomplete[vm] = true
+		delete(m.known, vm)
+		return
+	}
+	delete(m.incomplete, vm)
+	if m.roster.Expire(m.self.VM, now) || changed {
+		m.publish()
+	}
+	if _, ok := m.roster.ListingAge(now); ok {
+		m.loaded.Store(true)
+	}
 }
 
 // advance records the position up to which this node has the VM's changes.
@@ -183,8 +249,11 @@
 	if known.Incarnation != m.self.Incarnation {
 		known = position{}
 	}
+	now := m.clock.Now()
+	request := membership.Request{Since: known.Sequence, ListingRevision: theirs.ListingRevision, ListingAge: theirs.ListingAge}
 	reply.Position = position{Incarnation: m.self.Incarnation, Sequence: m.roster.Sequence()}
-	reply.Entries = slices.DeleteFunc(m.roster.ChangedSince(known.Sequence), func(e membership.Entry) bool {
+	reply.Listing = m.roster.ListingNews(request, now)
+	reply.Entries = slices.DeleteFunc(m.roster.News(request, now), func(e membership.Entry) bool {
 		return e.VM == m.self.VM || e.VM == theirs.Self.VM
 	})
 	return reply, nil
--- a/plugin/roster/roster.go
+++ b/plugin/roster/roster.go
@@ -2,12 +2,14 @@
 // and from gossip between nodes, and provides membership.Source and
 // membership.Announcer to the other modules.
 //
-// Each node polls the store's listing of the fleet, which may be seconds old
-// but is cheap. Urgent changes, such as an upstream that leaves, are sent to
-// every known node directly. Some nodes of each failure domain are relays, which
-// watch the configuration on behalf of the others. While the store is
-// unavailable, the last listing stays in effect and nodes learn of changes by
-// gossip.
+// In a small fleet each node polls the store's listing of the fleet, which may be
+// seconds old but is cheap. In a larger one, whose listings by every node would fill
+// the links between regions, one relay of each failure domain does so, and the
+// others take the listing from it by gossip (docs/design/fleet-control-traffic.md).
+// Urgent changes, such as an upstream that leaves, are sent to the correspondents
+// directly. Relays also watch the configuration on behalf of the others. While the
+// store is unavailable, the last listing stays in effect and nodes learn of changes
+// by gossip.
 package roster
 
 import (
@@ -56,6 +58,17 @@
 	listInterval        = 3 * time.Second
 	startupListInterval = 400 * time.Millisecond
 	startupListings     = 5
+	// domainListings is the number of listings of a starting node that begin with
+	// its failure domain alone. If it has more than maxSmallDomain VMs, the node
+	// takes the rest from its relays: a fleet that starts as a whole would
+	// otherwise list itself once for each VM at once.
+	domainListings = 2
+	maxSmallDomain = 8
+	// checkInterval is the time between two checks whether a node that may take the
+	// listing from others has to list the store.
+	checkInterval = 500 * time.Millisecond
+	// noListingAge is added to the age of a listing that has never arrived.
+	noListingAge = 4500 * time.Millisecond
 	// missingAfter is the time within which a live VM re-registers after an
 	// outage of the store.
 	missingAfter = 2 * time.Second
@@ -107,7 +120,12 @@
 	prefix      string
 	metrics     *metrics
 	view        atomic.Pointer[membership.View]
-	loaded      atomic.Bool
+	// loaded is true once this node knows a listing of the fleet, and domainListed
+	// once it has listed its failure domain.
+	loaded       atomic.Bool
+	domainListed atomic.Bool
+	// starting is true until startupListings listings have succeeded.
+	starting atomic.Bool
 	// synced is closed once this node has learned what the fleet knows of its
 	// predecessor, or has waited syncTimeout for it. The fleet's knowledge is that
 	// of other nodes and of the store.
@@ -140,10 +158,17 @@
 	// computed.
 	groupView    *membership.View
 	group, peers []membership.Entry
+	// domain has the VMs in view of this node's failure domain, and sharesListings
+	// is true if the fleet is so large that relays list the store for them.
+	domain         []membership.Entry
+	sharesListings bool
 	// domainAskedAt is when this node last sent an exchange to each failure domain.
 	domainAskedAt map[string]time.Time
 	// known is the position up to which this node has each VM's changes.
 	known map[string]position
+	// incomplete has the VMs whose last changes did not lead to their listing.
+	incomplete map[string]bool
+	startedAt  time.Time
 }
 
 var (
@@ -177,6 +202,8 @@
 	m.dirty = make(chan struct{}, 1)
 	m.invalidRecords = map[string]int64{}
 	m.synced, m.peersAnswered, m.departuresRead = make(chan struct{}), make(chan struct{}), make(chan struct{})
+	m.starting.Store(true)
+	m.startedAt, m.incomplete = m.clock.Now(), map[string]bool{}
 	m.known, m.domainAskedAt = map[string]position{}, map[string]time.Time{}
 	m.watchAssignment = membership.WatchAssignment{Life: watchReportTTL}
 	m.roster = membership.NewRoster(membership.RosterOptions{MissingAfter: missingAfter, ForgetAfter: forgetAfter})
@@ -211,7 +238,8 @@
 	return m.self
 }
 
-// Loaded reports whether the fleet has been listed from the store at least once.
+// Loaded reports whether the fleet has been listed from the store at least once, by
+// this node or by one that forwarded the listing.
 func (m *Module) Loaded() bool { return m.loaded.Load() }
 
 // InContact reports whether this node may make decisions for the fleet: its
@@ -275,7 +303,7 @@
 
 // startSync asks some nodes for what they know of this node's predecessor.
 func (m *Module) startSync() {
-	peers := m.correspondents()
+	peers := m.syncCandidates()
 	if len(peers) == 0 {
 		m.markPeersAnswered()
 		return
@@ -286,6 +314,29 @@
 	}
 }
 
+// syncCandidates returns the VMs that a starting node may ask for what they know:
+// the relays of its failure domain if it has listed only that, and otherwise its
+// correspondents.
+func (m *Module) syncCandidates() []membership.Entry {
+	if m.Loaded() {
+		return m.correspondents()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rankedGroup()
+	return slices.DeleteFunc(membership.Relays(m.domain), func(e membership.Entry) bool { return e.VM == m.self.VM })
+}
+
+// listingAge returns the age of the listing of the store that this node knows. One
+// that knows none counts as if it had waited longer for it. The caller holds m.mu.
+func (m *Module) listingAge() time.Duration {
+	now := m.clock.Now()
+	if age, ok := m.roster.ListingAge(now); ok {
+		return age
+	}
+	return now.Sub(m.startedAt) + noListingAge
+}
+
 // Announce implements membership.Announcer. The changed entry is written to the
 // store and sent to the correspondents immediately. A node that has left stays
 // gone, whatever its upstream does meanwhile.
@@ -317,10 +368,10 @@
 func (m *Module) OnStoreTimeout(f func()) { m.storeTimeoutHandlers = append(m.storeTimeoutHandlers, f) }
 
 // WatchDue reports whether this node has to watch the configuration itself. It
-// returns false until the fleet has been listed from the store, because the
+// returns false until its failure domain has been listed from the store, because the
 // node may not know any relay before.
 func (m *Module) WatchDue() bool {
-	if !m.Loaded() {
+	if !m.domainListed.Load() {
 		return false
 	}
 	m.mu.Lock()
@@ -362,6 +413,10 @@
 		m.groupView = view
 		m.group = membership.ByRank(membership.Group(view.All(), m.self))
 		m.peers = membership.Correspondents(view.All(), m.self)
+		m.domain = slices.DeleteFunc(slices.Clone(view.All()), func(e membership.Entry) bool {
+			return e.FailureDomain != m.self.FailureDomain || e.State == membership.Gone
+		})
+		m.sharesListings = membership.SharesListings(view.All())
 	}
 	return m.group
 }
@@ -427,6 +482,7 @@
 	vms        prometheus.Gauge
 	storeCalls *prometheus.CounterVec
 	exchanges  *prometheus.CounterVec
+	listed     prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -440,7 +496,10 @@
 		exchanges: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "mangomast_roster_exchanges_total", Help: "Exchanges with other nodes that this node began, by result.",
 		}, []string{"result"}),
+		listed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mangomast_roster_listed_entries_total", Help: "Entries that this node read in listings of the store.",
+		}),
 	}
-	registerer.MustRegister(m.vms, m.storeCalls, m.exchanges)
+	registerer.MustRegister(m.vms, m.storeCalls, m.exchanges, m.listed)
 	return m
 }
--- a/plugin/roster/store.go
+++ b/plugin/roster/store.go
@@ -1,8 +1,10 @@
 package roster
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/mesh"
 	"github.com/mangomast/mangomast/store"
 )
 
@@ -88,14 +91,14 @@
 	if lease == 0 || self.State == membership.Gone {
 		return
 	}
-	value, err := json.Marshal(self)
+	value, err := mesh.Encode(self)
 	if err != nil {
 		m.log.WithError(err).Error("encoding this node's entry failed; it is not written to the store")
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err = m.store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: m.prefix + self.VM, Value: value, Lease: lease}}})
+	_, err = m.store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: m.prefix + entryName(self), Value: value, Lease: lease}}})
 	m.recordCall("put", err)
 	if err == nil {
 		return
@@ -133,15 +136,16 @@
 	}
 }
 
-// list polls the store's listing of the fleet.
+// list polls the store's listing of the fleet, as far as this node has to.
 func (m *Module) list(ctx context.Context) error {
 	for listings := 0; ; {
-		if m.listOnce(ctx) {
+		if m.listStep(ctx, listings) {
 			listings++
 		}
-		interval := listInterval
-		if listings < startupListings {
-			interval = startupListInterval
+		interval := startupListInterval
+		if listings >= startupListings {
+			m.starting.Store(false)
+			interval = m.listInterval()
 		}
 		if err := kernel.Sleep(ctx, m.clock, interval); err != nil {
 			return err
@@ -149,16 +153,102 @@
 	}
 }
 
-func (m *Module) listOnce(ctx context.Context) bool {
+// listInterval returns the time until the next listing or, in a fleet that shares
+// listings, the next check whether this node has to make one.
+func (m *Module) listInterval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rankedGroup()
+	if m.sharesListings {
+		return checkInterval
+	}
+	return listInterval
+}
+
+// listStep makes the listing that is due, if any, and reports whether it succeeded.
+// The first ones begin with the own failure domain, until a large one was found.
+func (m *Module) listStep(ctx context.Context, listings int) bool {
+	if listings < domainListings && !m.sharesDomain() {
+		domainSize, ok := m.listDomain(ctx)
+		if !ok {
+			return false
+		}
+		if domainSize > maxSmallDomain && !m.isRelay() {
+			m.startSync()
+			return true
+		}
+		return m.listFleet(ctx)
+	}
+	if !m.listingDue() {
+		return true
+	}
+	return m.listFleet(ctx)
+}
+
+// sharesDomain reports whether this node has other nodes of a large failure domain
+// in view, of which the relays list the fleet.
+func (m *Module) sharesDomain() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rankedGroup()
+	return len(m.domain) > maxSmallDomain
+}
+
+func (m *Module) isRelay() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rankedGroup()
+	return membership.Rank(membership.Relays(m.domain), m.self.VM) >= 0
+}
+
+func (m *Module) listingDue() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rankedGroup()
+	return !m.sharesListings || membership.ListingDue(m.domain, m.self.VM, m.listingAge(), rand.Float64())
+}
+
+// listDomain lists this node's failure domain and returns the number of its VMs.
+func (m *Module) listDomain(ctx context.Context) (size int, ok bool) {
+	domain := m.Self().FailureDomain
+	entries, _, ok := m.readListing(ctx, m.prefix+domain+"/")
+	if !ok {
+		return 0, false
+	}
+	m.mu.Lock()
+	now := m.clock.Now()
+	if m.roster.MergeDomainListing(domain, entries, now) {
+		m.publish()
+	}
+	m.mu.Unlock()
+	m.domainListed.Store(true)
+	return len(entries), true
+}
+
+// listFleet lists the fleet and reports whether that succeeded.
+func (m *Module) listFleet(ctx context.Context) bool {
+	sentAt := m.clock.Now()
+	entries, revision, ok := m.readListing(ctx, m.prefix)
+	if !ok {
+		return false
+	}
+	if m.mergeListing(entries, revision, sentAt) {
+		m.startSync()
+	}
+	return true
+}
+
+// readListing reads and decodes the entries under the prefix.
+func (m *Module) readListing(ctx context.Context, prefix string) (entries []membership.Entry, revision int64, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	listing, err := m.store.ListStale(ctx, m.prefix)
+	listing, err := m.store.ListStale(ctx, prefix)
 	m.recordCall("list", err)
 	if err != nil {
-		return false
+		return nil, 0, false
 	}
+	m.metrics.listed.Add(float64(len(listing.Records)))
 	now := m.clock.Now()
-	entries := make([]membership.Entry, 0, len(listing.Records))
 	for _, record := range listing.Records {
 		entry, err := decodeEntry(strings.TrimPrefix(record.Key, m.prefix), record.Value, now)
 		if err != nil {
@@ -168,18 +258,17 @@
 		entries = append(entries, entry)
 		m.handlePredecessor(entry)
 	}
-	if m.mergeListing(entries, listing.Revision, now) {
-		m.startSync()
-	}
-	return true
+	return entries, listing.Revision, true
 }
 
 // mergeListing merges a listing of the store and reports whether it is the
 // first.
-func (m *Module) mergeListing(entries []membership.Entry, revision int64, now time.Time) bool {
+func (m *Module) mergeListing(entries []membership.Entry, revision int64, sentAt time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.clock.Now()
 	changed := m.roster.MergeListing(entries, now)
+	m.roster.SetListing(entries, revision, sentAt)
 	if m.roster.Expire(m.self.VM, now) || changed {
 		m.publish()
 		m.log.WithFields(log.Fields{"vms": len(entries), "revision": revision}).Info("member list changed by a listing of the store")
@@ -187,14 +276,23 @@
 	return !m.loaded.Swap(true)
 }
 
-// decodeEntry decodes and validates the entry that the store holds for a VM.
-func decodeEntry(vm string, value []byte, now time.Time) (membership.Entry, error) {
+// entryName returns the part of a key after the prefix of entries: the failure
+// domain, by which a node can list its own, and the VM.
+func entryName(entry membership.Entry) string { return entry.FailureDomain + "/" + entry.VM }
+
+// decodeEntry decodes and validates the entry that the store holds under a name.
+// Nodes of earlier versions write their entries as JSON, under the VM's name alone.
+func decodeEntry(name string, value []byte, now time.Time) (membership.Entry, error) {
 	var entry membership.Entry
-	if err := json.Unmarshal(value, &entry); err != nil {
+	decode := mesh.Decode
+	if bytes.HasPrefix(value, []byte("{")) {
+		decode = json.Unmarshal
+	}
+	if err := decode(value, &entry); err != nil {
 		return membership.Entry{}, err
 	}
-	if entry.VM != vm {
-		return membership.Entry{}, errors.Errorf("entry of VM %.80q has the key of VM %.80q", entry.VM, vm)
+	if name != entryName(entry) && name != entry.VM {
+		return membership.Entry{}, errors.Errorf("entry of VM %.80q has the key %.80q", entry.VM, name)
 	}
 	return entry, entry.Validate(now)
 }
