Exchange with other regions through relays only

Cause: in fleets of hundreds of nodes each node exchanged with and announced every change to the relays of all failure domains: dials after each restart and pings on each link filled the links between regions.

Leaving and gone VMs are announced to all correspondents; without the store every node contacts all failure domains, as before.

TestRegionalCorrespondents; TestListingsSurviveLosses runs with it.

--- a/membership/correspondents.go
+++ b/membership/correspondents.go
@@ -34,3 +34,14 @@
 	}
 	return slices.DeleteFunc(others, func(e Entry) bool { return !chosen[e.VM] })
 }
+
+// RegionalCorrespondents returns those of a node's correspondents to which it sends
+// what is not urgent: in a fleet that shares listings, only the relays of a failure
+// domain, given its VMs, exchange with other regions, and the other nodes learn from
+// them. Each link between regions costs pings and, after each restart, a dial.
+func RegionalCorrespondents(correspondents, domain []Entry, self Entry) []Entry {
+	if Rank(Relays(domain), self.VM) >= 0 {
+		return correspondents
+	}
+	return slices.DeleteFunc(slices.Clone(correspondents), func(e Entry) bool { return e.Region != self.Region })
+}
--- a/membership/correspondents_test.go
+++ b/membership/correspondents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,6 +18,18 @@
 	return entries
 }
 
+// regionalEntries returns the entries of four failure domains in two regions.
+func regionalEntries(perDomain int) []Entry {
+	entries := fleetEntries(4, perDomain)
+	for i := range entries {
+		entries[i].Region = "south"
+		if entries[i].FailureDomain < "d-02" {
+			entries[i].Region = "north"
+		}
+	}
+	return entries
+}
+
 func TestCorrespondents(t *testing.T) {
 	small := fleetEntries(4, 8)
 	small[3].State = Gone
@@ -74,3 +87,28 @@
 		}
 	}
 }
+
+// TestRegionalCorrespondents loses the relays of a region one after the other. There
+// must always be nodes that exchange with the other region, and few of them.
+func TestRegionalCorrespondents(t *testing.T) {
+	entries := regionalEntries(75)
+	for range 5 {
+		crossing := map[string][]string{}
+		for _, self := range entries {
+			domain := slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.FailureDomain != self.FailureDomain })
+			for _, peer := range RegionalCorrespondents(Correspondents(entries, self), domain, self) {
+				if peer.Region != self.Region {
+					crossing[self.Region] = append(crossing[self.Region], self.VM)
+					break
+				}
+			}
+		}
+		assert.Equal(t, len(crossing), 2)
+		lost := []string{}
+		for _, vms := range crossing {
+			assert.Equal(t, len(vms), 2*RelaysPerDomain)
+			lost = append(lost, vms...)
+		}
+		entries = slices.DeleteFunc(entries, func(e Entry) bool { return slices.Contains(lost, e.VM) })
+	}
+}
--- a/membership/listing_test.go
+++ b/membership/listing_test.go
@@ -158,7 +158,7 @@
 	n.compute()
 	candidates := ListersToQuery(n.domain, n.correspondents, n.self.VM, f.age(n))
 	if len(candidates) == 0 {
-		candidates = n.correspondents
+		candidates = RegionalCorrespondents(n.correspondents, n.domain, n.self)
 	}
 	if len(candidates) == 0 {
 		return
@@ -218,7 +218,7 @@
 func TestListingsAreShared(t *testing.T) {
 	for _, perDomain := range []int{25, 75} {
 		t.Run(fmt.Sprintf("%d VMs", 4*perDomain), func(t *testing.T) {
-			f := newListingFleet(fleetEntries(4, perDomain))
+			f := newListingFleet(regionalEntries(perDomain))
 			f.run(20 * time.Second)
 			f.assertAgree(t, "start")
 			f.listings, f.forwarded = 0, 0
@@ -235,7 +235,7 @@
 // TestListingsSurviveLosses loses what stands between a node and the store.
 func TestListingsSurviveLosses(t *testing.T) {
 	const perDomain = 24
-	entries := fleetEntries(4, perDomain)
+	entries := regionalEntries(perDomain)
 	domain := entries[0].FailureDomain
 	relays := Relays(entries[:perDomain])
 	for name, lose := range map[string]func(f *listingFleet){
@@ -273,7 +273,7 @@
 // TestListingsAfterRestart restarts all VMs of a fleet at once, with later
 // incarnations, and one of them again after another has been replaced.
 func TestListingsAfterRestart(t *testing.T) {
-	f := newListingFleet(fleetEntries(4, 24))
+	f := newListingFleet(regionalEntries(24))
 	f.run(10 * time.Second)
 	for _, entry := range sortedEntries(f.nodes) {
 		entry.Incarnation++
--- a/plugin/roster/gossip.go
+++ b/plugin/roster/gossip.go
@@ -76,11 +76,11 @@
 	m.mu.Lock()
 	unlisted := m.roster.Unlisted()
 	m.mu.Unlock()
-	correspondents := m.correspondents()
+	correspondents := m.regionalCorrespondents()
 	if m.storeUnavailable.Load() {
 		// Contact with the other domains is the proof that this node is not cut
 		// off, in place of its lease.
-		correspondents = m.leastRecentDomain(correspondents)
+		correspondents = m.leastRecentDomain(m.correspondents())
 	}
 	for _, candidates := range [][]membership.Entry{m.listersToQuery(), unlisted, m.watchersToQuery(), m.mostlyRegional(correspondents), correspondents} {
 		if len(candidates) == 0 {
--- a/plugin/roster/roster.go
+++ b/plugin/roster/roster.go
@@ -162,6 +162,8 @@
 	// is true if the fleet is so large that relays list the store for them.
 	domain         []membership.Entry
 	sharesListings bool
+	// regionalPeers are the peers to which this node sends what is not urgent.
+	regionalPeers []membership.Entry
 	// domainAskedAt is when this node last sent an exchange to each failure domain.
 	domainAskedAt map[string]time.Time
 	// known is the position up to which this node has each VM's changes.
@@ -357,7 +359,12 @@
 	default:
 	}
 	m.log.WithFields(log.Fields{"state": self.State.String(), "service": self.Service, "version": self.Version}).Info("announced own entry")
-	for _, peer := range m.correspondents() {
+	peers := m.regionalCorrespondents()
+	if self.State == membership.Leaving || self.State == membership.Gone {
+		// Every request that goes to the VM meanwhile is refused.
+		peers = m.correspondents()
+	}
+	for _, peer := range peers {
 		go m.announceTo(peer)
 	}
 }
@@ -416,7 +423,10 @@
 		m.domain = slices.DeleteFunc(slices.Clone(view.All()), func(e membership.Entry) bool {
 			return e.FailureDomain != m.self.FailureDomain || e.State == membership.Gone
 		})
-		m.sharesListings = membership.SharesListings(view.All())
+		m.sharesListings, m.regionalPeers = membership.SharesListings(view.All()), m.peers
+		if m.sharesListings {
+			m.regionalPeers = membership.RegionalCorrespondents(m.peers, m.domain, m.self)
+		}
 	}
 	return m.group
 }
@@ -430,7 +440,7 @@
 	m.self.ConfigRevision = revision
 	group := m.rankedGroup()
 	m.mu.Unlock()
-	peers := m.correspondents()
+	peers := m.regionalCorrespondents()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	targets := map[string]membership.Entry{}
 	for _, peer := range peers[:min(randomPeers, len(peers))] {
@@ -471,6 +481,15 @@
 	return slices.Clone(m.peers)
 }
 
+// regionalCorrespondents returns a copy of the VMs to which this node sends what is
+// not urgent.
+func (m *Module) regionalCorrespondents() []membership.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rankedGroup()
+	return slices.Clone(m.regionalPeers)
+}
+
 // publish stores a new view. The caller holds m.mu or is Provision.
 func (m *Module) publish() {
 	entries := m.roster.Entries()
