--- a/membership/roster.go
+++ b/membership/roster.go
@@ -82,12 +82,6 @@
 // listed.
 func (r *Roster) Sequence() uint64 { return r.sequence }
 
-// ChangedSince returns the members whose entries changed after the sequence,
-// ordered by name.
-func (r *Roster) ChangedSince(sequence uint64) []Entry {
-	return r.collect(func(record *rosterRecord) bool { return record.changedAt > sequence })
-}
-
 // Predecessor returns the known entry of an earlier incarnation of the entry's
 // VM, and whether there is one.
 func (r *Roster) Predecessor(entry Entry) (Entry, bool) {
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -92,27 +92,27 @@
 	assert.Equal(t, len(r.records), 1)
 }
 
-func TestChangedSinceReturnsOnlyNewsOfMembers(t *testing.T) {
+func TestNewsReturnsOnlyNewsOfMembers(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := NewRoster(RosterOptions{MissingAfter: 2 * time.Second, ForgetAfter: time.Minute})
 	r.MergeListing([]Entry{{VM: "a", Version: 1}, {VM: "b", Version: 1}, {VM: "c", Version: 1}}, now)
-	assert.DeepEqual(t, names(r.ChangedSince(0)), []string{"a", "b", "c"})
+	assert.DeepEqual(t, names(r.News(Request{Since: 0}, now)), []string{"a", "b", "c"})
 	known := r.Sequence()
-	assert.Equal(t, len(r.ChangedSince(known)), 0)
+	assert.Equal(t, len(r.News(Request{Since: known}, now)), 0)
 	r.Merge(Entry{VM: "b", Version: 1}, now)
 	assert.Equal(t, r.Sequence(), known, "an entry that is not newer is no change")
 	r.Observe(Entry{VM: "b", Version: 2}, now)
 	r.Merge(Entry{VM: "d"}, now)
-	assert.DeepEqual(t, names(r.ChangedSince(known)), []string{"b", "d"})
+	assert.DeepEqual(t, names(r.News(Request{Since: known}, now)), []string{"b", "d"})
 
 	// c is removed, and returns in a later incarnation.
 	known = r.Sequence()
 	r.MergeListing([]Entry{{VM: "a", Version: 1}, {VM: "b", Version: 2}, {VM: "d"}}, now)
 	now = now.Add(3 * time.Second)
 	assert.Assert(t, r.Expire("a", now))
-	assert.DeepEqual(t, names(r.ChangedSince(0)), []string{"a", "b", "d"})
+	assert.DeepEqual(t, names(r.News(Request{Since: 0}, now)), []string{"a", "b", "d"})
 	r.Merge(Entry{VM: "c", Incarnation: 2}, now)
-	assert.DeepEqual(t, names(r.ChangedSince(known)), []string{"c"})
+	assert.DeepEqual(t, names(r.News(Request{Since: known}, now)), []string{"c"})
 }
 
 // TestCountReachable splits a fleet of 96 VMs, in which a node corresponds with
