Let pools grant by votes, so that a moving pool keeps the limit

Cause: a node ran an organisation's pool if its own member list named it. Callers got wrong answers in no case; the organisation got too much.

A node that asks the former host is sent to the new one. Messages travel as KindPool, as an unknown kind would close the link of an earlier version.

--- a/plugin/pool/pool.go
+++ b/plugin/pool/pool.go
@@ -1,8 +1,9 @@
 // Package pool enforces each organisation's rate and burst over all nodes. It runs
 // quota.NodeLimiter and quota.Bucket over the mesh: a part of each limit is divided
 // among the nodes, and the rest is granted by the organisation's pool on one node,
-// which is selected from the roster by rendezvous hashing. A pool starts empty, so
-// moving it to another node creates no tokens.
+// which is selected from the roster by rendezvous hashing. A pool grants as much as
+// the votes of the nodes that run pools allow, and it starts empty, so moving it to
+// another node creates no tokens.
 package pool
 
 import (
@@ -45,6 +46,15 @@
 	warmInterval = 2 * time.Second
 	// pruneInterval is the time between two checks for pools to remove.
 	pruneInterval = 250 * time.Millisecond
+	// voteInterval is the time between two checks for votes to claim.
+	voteInterval = 100 * time.Millisecond
+	// voteTimeout bounds a request for votes or to yield.
+	voteTimeout = 500 * time.Millisecond
+	// redirectTTL is how long a node asks the host that another node has named.
+	redirectTTL = time.Second
+	// votelessWait is how long a node waits before it asks again where the pool's host
+	// has no votes yet.
+	votelessWait = 50 * time.Millisecond
 	// minWait is the minimum time before a waiting request looks for a token again, so
 	// that it does not poll continuously.
 	minWait = 5 * time.Millisecond
@@ -84,10 +94,23 @@
 	pools    map[string]*quota.Bucket
 	// poolsCheckedAt is when this node last found that it runs its pools.
 	poolsCheckedAt time.Time
+	voter          *quota.Voter
+	claimant       *quota.Claimant
 	// currentNodes are the VMs in view among which limits are divided, and
 	// poolHosts those of them that run pools.
 	view                    *membership.View
 	currentNodes, poolHosts []membership.Entry
+	// voterVMs are the names of poolHosts.
+	voterVMs []string
+	hosted   hostedPools
+}
+
+// hostedPools are the organisations whose pools a node has to run, by a view and a
+// configuration.
+type hostedPools struct {
+	view          *membership.View
+	snapshot      *config.Snapshot
+	organisations []string
 }
 
 // limiter is a quota.NodeLimiter with its pending request to the pool.
@@ -98,6 +121,25 @@
 	inFlight chan struct{}
 	// waiting counts the callers' requests that wait for a token.
 	waiting int
+	// redirect is the host to ask until redirectUntil instead of the one in the roster.
+	redirect      quota.Host
+	redirectUntil time.Time
+}
+
+// message is one of three requests: for an organisation's tokens, for votes, or to yield
+// an organisation's pool. Nodes that only know the first answer the others with an empty
+// grant.
+type message struct {
+	tokenRequest
+	Votes *voteRequest  `cbor:"3,keyasint,omitempty"`
+	Yield *yieldRequest `cbor:"4,keyasint,omitempty"`
+}
+
+// answer is the answer to a message.
+type answer struct {
+	grant
+	Votes *voteAnswer  `cbor:"4,keyasint,omitempty"`
+	Yield *yieldAnswer `cbor:"5,keyasint,omitempty"`
 }
 
 // tokenRequest asks an organisation's pool for tokens.
@@ -107,10 +149,11 @@
 }
 
 // grant is the answer to a tokenRequest. Wait is how long the node should wait before
-// it asks again.
+// it asks again, and Host the node to ask instead, if that is known.
 type grant struct {
 	Tokens float64       `cbor:"1,keyasint"`
 	Wait   time.Duration `cbor:"2,keyasint"`
+	Host   quota.Host    `cbor:"3,keyasint,omitzero"`
 }
 
 var (
@@ -121,7 +164,7 @@
 
 // Actors implements kernel.ActorSource.
 func (m *Module) Actors() []kernel.Actor {
-	return []kernel.Actor{{Name: "prune pools", Run: m.prunePools}, {Name: "warm links to pools", Run: m.warmLinks}}
+	return []kernel.Actor{{Name: "prune pools", Run: m.prunePools}, {Name: "warm links to pools", Run: m.warmLinks}, {Name: "claim pools", Run: m.claimPools}}
 }
 
 // warmLinks keeps links to the nodes that run pools. A dial to another region
@@ -147,15 +190,27 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.dropUncheckedPools(m.clock.Now())
-		for organisation := range m.pools {
-			if !m.runsPool(organisation) {
-				delete(m.pools, organisation)
-				m.log.WithField("organisation", organisation).Info("removed an organisation's pool that this node no longer runs")
-			}
-		}
+		m.prune(m.clock.Now())
 	})
 }
 
+// prune removes what belongs to pools that this node has no votes for and does not have
+// to run. The caller holds m.mu.
+func (m *Module) prune(now time.Time) {
+	m.voter.Purge(now)
+	for _, organisation := range m.claimant.Tenures() {
+		if m.part(organisation, now) == 0 && !m.runsPool(organisation) {
+			m.claimant.GiveUp(organisation)
+		}
+	}
+	for organisation := range m.pools {
+		if m.part(organisation, now) == 0 && !m.runsPool(organisation) {
+			delete(m.pools, organisation)
+			m.log.WithField("organisation", organisation).Info("removed an organisation's pool that this node no longer runs")
+		}
+	}
+}
+
 // dropUncheckedPools removes all pools if this process has not checked for the
 // length of its lease whether it still runs them. It was paused or suspended
 // meanwhile, and the others may have moved its pools. The caller holds m.mu.
@@ -179,8 +234,8 @@
 	return nodes[0], true
 }
 
-// runsPool reports whether this node runs the pool and is in contact with the other
-// nodes. The caller holds m.mu.
+// runsPool reports whether this node has to run the pool and is in contact with the
+// other nodes. The caller holds m.mu.
 func (m *Module) runsPool(organisation string) bool {
 	poolNode, ok := m.poolNode(organisation)
 	return ok && poolNode.VM == m.mesh.Self().VM && m.members.InContact()
@@ -200,6 +255,7 @@
 	}
 	m.clock, m.log = ctx.LeaseClock, ctx.Log
 	m.limiters, m.pools = map[string]*limiter{}, map[string]*quota.Bucket{}
+	m.voter, m.claimant = quota.NewVoter(m.clock.Now(), outranks), quota.NewClaimant(m.self())
 	m.labels = metriclabel.NewSet(metriclabel.MaxOrganisations)
 	m.requests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "mangomast_pool_requests_total", Help: "Requests by organisation and whether there was a token for them.",
@@ -208,7 +264,7 @@
 		Name: "mangomast_pool_questions_total", Help: "Questions to other nodes' pools, by result.",
 	}, []string{"result"})
 	ctx.Registry.MustRegister(m.requests, m.poolRequests)
-	m.mesh.Handle(mesh.KindPool, mesh.Typed(m.serveTokenRequest))
+	m.mesh.Handle(mesh.KindPool, mesh.Typed(m.serve))
 	kernel.Provide(ctx, m)
 	return nil
 }
@@ -312,7 +368,10 @@
 			m.currentNodes = append(m.currentNodes, entry)
 		}
 	}
-	m.poolHosts = routing.Subset(poolHostsSeed, m.currentNodes, maxPoolHosts)
+	m.poolHosts, m.voterVMs = routing.Subset(poolHostsSeed, m.currentNodes, maxPoolHosts), nil
+	for _, host := range m.poolHosts {
+		m.voterVMs = append(m.voterVMs, host.VM)
+	}
 	return m.currentNodes
 }
 
@@ -327,11 +386,11 @@
 	if want <= 0 {
 		return nil
 	}
-	poolNode, ok := m.poolNode(org.ID)
+	host, ok := m.hostToAsk(org.ID, lim, now)
 	switch {
 	case !ok:
 		return nil
-	case poolNode.VM != m.mesh.Self().VM:
+	case host.VM != m.mesh.Self().VM:
 	case !m.members.InContact():
 		lim.PoolFailed(failureBackoff, now)
 		return nil
@@ -341,51 +400,81 @@
 		return nil
 	}
 	lim.inFlight = make(chan struct{})
-	go m.exchange(poolNode, org.ID, lim, want, now)
+	go m.exchange(host, org.ID, lim, want, now)
 	return lim.inFlight
 }
 
 // exchange sends a tokenRequest to the pool on another node and applies the answer.
-func (m *Module) exchange(poolNode membership.Entry, organisation string, lim *limiter, want float64, asked time.Time) {
+func (m *Module) exchange(host quota.Host, organisation string, lim *limiter, want float64, asked time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	var granted grant
-	peer := mesh.Peer{VM: poolNode.VM, Address: poolNode.MeshAddress}
-	err := m.mesh.Exchange(ctx, peer, mesh.KindPool, tokenRequest{Organisation: organisation, Want: want}, &granted)
+	request := message{tokenRequest: tokenRequest{Organisation: organisation, Want: want}}
+	granted, err := m.send(ctx, host, request)
 	result := "ok"
 	if err != nil {
 		result = "failed"
-		m.log.WithError(err).WithFields(log.Fields{"organisation": organisation, "peer": poolNode.VM}).Debug("cannot get tokens from the pool; backing off")
+		m.log.WithError(err).WithFields(log.Fields{"organisation": organisation, "peer": host.VM}).Debug("cannot get tokens from the pool; backing off")
 	}
 	m.poolRequests.WithLabelValues(result).Inc()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.clock.Now()
 	if err != nil {
-		lim.PoolFailed(failureBackoff, m.clock.Now())
+		lim.redirectUntil = time.Time{}
+		lim.PoolFailed(failureBackoff, now)
 	} else {
-		lim.ApplyGrant(granted.Tokens, granted.Wait, asked, m.clock.Now())
+		lim.ApplyGrant(granted.Tokens, granted.Wait, asked, now)
+		if granted.Host.VM != "" {
+			lim.redirect, lim.redirectUntil = granted.Host, now.Add(redirectTTL)
+		}
 	}
 	close(lim.inFlight)
 	lim.inFlight = nil
 }
 
-// serveTokenRequest grants tokens to another node, or none if this node does not run
-// the organisation's pool.
-func (m *Module) serveTokenRequest(_ context.Context, _ mesh.Identity, request tokenRequest) (grant, error) {
+// send sends a message to another node.
+func (m *Module) send(ctx context.Context, host quota.Host, request message) (got answer, err error) {
+	err = m.mesh.Exchange(ctx, mesh.Peer{VM: host.VM, Address: host.Address}, mesh.KindPool, request, &got)
+	return got, err
+}
+
+// serve answers another node's message.
+func (m *Module) serve(_ context.Context, from mesh.Identity, request message) (answer, error) {
+	switch {
+	case request.Votes != nil:
+		return answer{Votes: m.serveVotes(from, request.Votes)}, nil
+	case request.Yield != nil:
+		return answer{Yield: m.serveYield(from, request.Yield.Organisation)}, nil
+	default:
+		return answer{grant: m.serveTokenRequest(request.tokenRequest)}, nil
+	}
+}
+
+// serveTokenRequest grants tokens to another node, as far as this node has votes for the
+// organisation's pool.
+func (m *Module) serveTokenRequest(request tokenRequest) grant {
 	snapshot := m.config.Snapshot()
 	if snapshot == nil {
-		return grant{Wait: failureBackoff}, nil
+		return grant{Wait: failureBackoff}
 	}
 	org := snapshot.Organisation(request.Organisation)
 	if org == nil {
-		return grant{Wait: failureBackoff}, nil
+		return grant{Wait: failureBackoff}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.runsPool(org.ID) {
-		return grant{Wait: failureBackoff}, nil
+	now := m.clock.Now()
+	if !m.members.InContact() {
+		return grant{Wait: failureBackoff}
+	}
+	if m.part(org.ID, now) > 0 {
+		return m.grantTokens(org, request.Want, now)
+	}
+	granted := grant{Wait: votelessWait}
+	if host, ok := m.otherHost(org.ID); ok {
+		granted.Host = host
 	}
-	return m.grantTokens(org, request.Want, m.clock.Now()), nil
+	return granted
 }
 
 // grantTokens takes tokens from the pool on this node. The caller holds m.mu.
@@ -396,9 +485,14 @@
 		pool = &quota.Bucket{}
 		m.pools[org.ID] = pool
 	}
-	pool.SetLimit(quota.PoolLimit(m.limitOf(org), len(m.nodes())), now)
+	part := m.part(org.ID, now)
+	pool.SetLimit(quota.PoolLimit(m.limitOf(org), len(m.nodes())).Times(part), now)
 	granted := grant{Tokens: pool.Take(want, now)}
-	if granted.Tokens < 1 {
+	switch {
+	case granted.Tokens >= 1:
+	case part == 0:
+		granted.Wait = votelessWait
+	default:
 		granted.Wait = pool.Wait(1, now)
 	}
 	return granted
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -104,6 +104,9 @@
 	return Limit{Rate: limit.Rate * fraction, Burst: limit.Burst * fraction}
 }
 
+// Times returns the fraction part of the limit.
+func (l Limit) Times(part float64) Limit { return Limit{Rate: l.Rate * part, Burst: l.Burst * part} }
+
 // NodeLimiter spends one organisation's tokens on one node: those of the node's own
 // part of the limit, and those granted by the pool.
 type NodeLimiter struct {
