Let voters for pools vote at once after their start

Change: a started voter votes at once. A node that knows no other node claims nothing before it has the fleet's list.

--- a/plugin/pool/pool.go
+++ b/plugin/pool/pool.go
@@ -255,7 +255,7 @@
 	}
 	m.clock, m.log = ctx.LeaseClock, ctx.Log
 	m.limiters, m.pools = map[string]*limiter{}, map[string]*quota.Bucket{}
-	m.voter, m.claimant = quota.NewVoter(m.clock.Now(), outranks), quota.NewClaimant(m.self())
+	m.voter, m.claimant = quota.NewVoter(outranks), quota.NewClaimant(m.self())
 	m.labels = metriclabel.NewSet(metriclabel.MaxOrganisations)
 	m.requests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "mangomast_pool_requests_total", Help: "Requests by organisation and whether there was a token for them.",
--- a/plugin/pool/votes.go
+++ b/plugin/pool/votes.go
@@ -85,14 +85,13 @@
 	}
 }
 
-// poolsToRun returns the organisations whose pools this node has to run. The caller holds
-// m.mu.
+// poolsToRun returns the organisations whose pools this node has to run: none while it has
+// just started and knows no other node. The caller holds m.mu.
 func (m *Module) poolsToRun() (organisations []string) {
 	snapshot := m.config.Snapshot()
-	if snapshot == nil || !m.members.InContact() {
+	if snapshot == nil || !m.members.InContact() || len(m.nodes()) == 1 && !m.members.Loaded() {
 		return nil
 	}
-	m.nodes()
 	if m.hosted.view == m.view && m.hosted.snapshot == snapshot {
 		return m.hosted.organisations
 	}
--- a/quota/claimant.go
+++ b/quota/claimant.go
@@ -71,7 +71,7 @@
 			}
 			record.nextClaim = now.Add(claimInterval)
 			claims[voter] = append(claims[voter], Claim{
-				Organisation: organisation, Epoch: t.epoch, Held: now.Before(record.validUntil), Former: t.yields[record.holder.VM],
+				Organisation: organisation, Epoch: t.epoch, Former: t.yields[record.holder.VM],
 			})
 		}
 	}
--- a/quota/claimant_test.go
+++ b/quota/claimant_test.go
@@ -61,7 +61,7 @@
 	n.host.Incarnation++
 	n.host.Address = n.host.VM
 	n.alive, n.pool = true, Bucket{}
-	n.voter, n.claimant = NewVoter(epoch.Add(f.now), outranksByName), NewClaimant(n.host)
+	n.voter, n.claimant = NewVoter(outranksByName), NewClaimant(n.host)
 }
 
 // members returns the VMs that are alive.
@@ -247,7 +247,7 @@
 	if f.random.IntN(2) == 0 {
 		n = f.nodes[hostIn(members)]
 	}
-	switch f.random.IntN(6) {
+	switch f.random.IntN(7) {
 	case 0, 1:
 		f.join(lag)
 	case 2:
@@ -260,6 +260,12 @@
 	case 4:
 		n.pausedUntil = f.now + time.Duration(f.random.Int64N(int64(5*time.Second)))
 	case 5:
+		for _, name := range members {
+			if f.random.IntN(2) == 0 {
+				f.start(f.nodes[name])
+			}
+		}
+	case 6:
 		n.cutUntil = f.now + time.Duration(f.random.Int64N(int64(5*time.Second)))
 		f.change(n.host.VM, false, lag)
 		f.after(5*time.Second+lag, func() {
@@ -372,6 +378,19 @@
 	assert.Assert(t, granted >= 360, "%d of 400 tokens in 4 s", granted)
 }
 
+// TestPoolOfARestartedFleetReturns restarts all processes at once, after which no voter
+// knows whom it voted for.
+func TestPoolOfARestartedFleetReturns(t *testing.T) {
+	f := newMoveFleet(1, Limit{Rate: 100, Burst: 100})
+	f.run(10 * time.Second)
+	for _, name := range f.names {
+		f.start(f.nodes[name])
+	}
+	f.run(14 * time.Second)
+	granted := f.countBetween(10*time.Second, 14*time.Second)
+	assert.Assert(t, granted >= 370, "%d of 400 tokens in 4 s", granted)
+}
+
 // TestPartsAddUpToOne splits the votes between two hosts whose member lists differ by two.
 func TestPartsAddUpToOne(t *testing.T) {
 	for votes := range 19 {
--- a/quota/voter.go
+++ b/quota/voter.go
@@ -32,15 +32,12 @@
 	Organisation string `cbor:"1,keyasint"`
 	// Epoch grows each time the candidate gives up its votes.
 	Epoch uint64 `cbor:"2,keyasint"`
-	// Held is true if the candidate holds an unexpired vote of the voter's VM, which
-	// may have restarted since.
-	Held bool `cbor:"3,keyasint,omitempty"`
 	// Former is the statement of the host that has the vote, if the candidate has one.
-	Former Yield `cbor:"4,keyasint,omitzero"`
+	Former Yield `cbor:"3,keyasint,omitzero"`
 }
 
 // Verdict is the answer to a Claim. Holder is the host that has the vote or is awaited
-// instead of the candidate; zero if the voter has just started and does not know it.
+// instead of the candidate.
 type Verdict struct {
 	Granted bool `cbor:"1,keyasint"`
 	Holder  Host `cbor:"2,keyasint,omitzero"`
@@ -50,9 +47,8 @@
 // different member lists do not both run the organisation's whole pool. It is not safe
 // for concurrent use.
 type Voter struct {
-	startedAt time.Time
-	outranks  func(organisation, a, b string) bool
-	votes     map[string]*vote
+	outranks func(organisation, a, b string) bool
+	votes    map[string]*vote
 }
 
 // vote is an organisation's vote. A claimant outranks the holder and gets the vote once
@@ -65,20 +61,16 @@
 	claimUntil time.Time
 }
 
-// NewVoter returns the voter of a process that has just started. outranks reports whether
-// the VM a is preferred to the VM b for an organisation's pool.
-func NewVoter(now time.Time, outranks func(organisation, a, b string) bool) *Voter {
-	return &Voter{startedAt: now, outranks: outranks, votes: map[string]*vote{}}
+// NewVoter returns a voter that has given no votes. outranks reports whether the VM a is
+// preferred to the VM b for an organisation's pool.
+func NewVoter(outranks func(organisation, a, b string) bool) *Voter {
+	return &Voter{outranks: outranks, votes: map[string]*vote{}}
 }
 
-// Vote decides on the claim of a candidate. Until the votes that the VM's former process
-// gave have expired, only their holders get one.
+// Vote decides on the claim of a candidate.
 func (v *Voter) Vote(now time.Time, from Host, claim Claim) Verdict {
 	held := v.votes[claim.Organisation]
 	if held == nil {
-		if now.Sub(v.startedAt) < VoteTTL+voteMargin && !claim.Held {
-			return Verdict{}
-		}
 		held = &vote{}
 		v.votes[claim.Organisation] = held
 	}
