--- a/review/testdata/second/stage/late_drain.go
+++ b/review/testdata/second/stage/late_drain.go
@@ -23,10 +23,10 @@
 		slowness = 6
 		slowFor  = 9 * time.Second
 		spread   = 0.3
-		// perSecond is 0.85 of what the servers serve while none is slow; burst multiplies
+		// perSecond is 0.94 of what the servers serve while none is slow; burst multiplies
 		// it for burstFor.
-		perSecond = 115.
-		burst     = 1.7
+		perSecond = 128.
+		burst     = 1.8
 		burstFor  = 6500 * time.Millisecond
 		length    = 16 * time.Second
 		slowAt    = 3 * time.Second
