--- a/review/testdata/second/stage/client.go
+++ b/review/testdata/second/stage/client.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -19,11 +18,7 @@
 // request is one attempt of a client.
 type request struct {
 	id, method, path string
-	body             []byte
-	header           http.Header
 	deadline         time.Duration
-	// wait is how long the client waits, if longer than the deadline.
-	wait time.Duration
 }
 
 // result is what a client saw.
@@ -47,16 +42,13 @@
 		q.id = newID()
 	}
 	got := result{request: q, sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), max(q.deadline, q.wait))
+	ctx, cancel := context.WithTimeout(context.Background(), q.deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+n.outbound+q.path, bytes.NewReader(q.body))
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+n.outbound+q.path, nil)
 	if err != nil {
 		got.err = err
 		return got
 	}
-	for name, values := range q.header {
-		req.Header[name] = values
-	}
 	req.Host = "desk.example"
 	req.Header.Set(names["id"], q.id)
 	req.Header.Set(names["deadline"], fmt.Sprint(q.deadline.Milliseconds()))
--- a/review/testdata/second/stage/node.go
+++ b/review/testdata/second/stage/node.go
@@ -218,8 +218,6 @@
 	return 0
 }
 
-func (n *node) signal(signal syscall.Signal) { _ = n.cmd.Process.Signal(signal) }
-
 // running reports whether the process has not ended.
 func (n *node) running() bool {
 	select {
--- a/review/testdata/second/stage/server.go
+++ b/review/testdata/second/stage/server.go
@@ -34,17 +34,12 @@
 	// single requests differ from that, as a fraction.
 	work   atomic.Int64
 	spread float64
-	// respond, if set, writes the answer to a request that has run.
-	respond func(w http.ResponseWriter, r *http.Request)
-	// onRun, if set, is called when a request begins to run.
-	onRun func(r *http.Request, body []byte)
 
 	http     *http.Server
 	capacity chan struct{}
 	waiting  atomic.Int64
 	seq      atomic.Int64
 	draining atomic.Bool
-	silent   atomic.Bool
 	stop     context.CancelFunc
 
 	mu   sync.Mutex
@@ -93,7 +88,7 @@
 	if id != "" {
 		w.Header().Set(names["id"], id)
 	}
-	body, err := io.ReadAll(r.Body)
+	_, err := io.Copy(io.Discard, r.Body)
 	switch expected := r.Header.Get(names["expected"]); {
 	case err != nil:
 		return
@@ -116,7 +111,7 @@
 		return
 	}
 	defer func() { <-s.capacity }()
-	s.run(ctx, w, r, body)
+	s.run(ctx, w, r)
 }
 
 func (s *server) acquire(ctx context.Context) bool {
@@ -143,15 +138,12 @@
 	w.WriteHeader(status)
 }
 
-func (s *server) run(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte) {
+func (s *server) run(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(names["id"])
 	s.mu.Lock()
 	s.runs = append(s.runs, run{at: time.Now(), id: id, target: r.RequestURI})
 	s.mu.Unlock()
 	s.record.add("server %s runs %s %s %s", s.instance, id, r.Method, r.RequestURI)
-	if s.onRun != nil {
-		s.onRun(r, body)
-	}
 	timer := time.NewTimer(time.Duration(float64(s.work.Load()) * (1 + s.spread*(2*rand.Float64()-1))))
 	defer timer.Stop()
 	select {
@@ -168,10 +160,6 @@
 	}
 	s.record.add("server %s ends %s", s.instance, id)
 	w.Header().Set(names["signature"], s.signature(id))
-	if s.respond != nil {
-		s.respond(w, r)
-		return
-	}
 	_, _ = fmt.Fprintf(w, "answer to %s by %s", id, s.instance)
 }
 
@@ -203,9 +191,7 @@
 // beat sends heartbeats until the server ends.
 func (s *server) beat(ctx context.Context) {
 	for {
-		if !s.silent.Load() {
-			s.sendBeat()
-		}
+		s.sendBeat()
 		select {
 		case <-ctx.Done():
 			return
--- a/review/testdata/second/stage/store.go
+++ b/review/testdata/second/stage/store.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// store is a stand-in for the platform's store. It is sound unless a case sets refuse.
+// store is a stand-in for the platform's store. It is sound.
 type store struct {
 	address string
 
@@ -22,8 +22,6 @@
 	nextID   int64
 	history  []storeItem
 	changed  chan struct{}
-	// refuse, if set, reports whether a call is turned away with 503.
-	refuse func(r *http.Request) bool
 }
 
 type storeItem struct {
@@ -61,12 +59,7 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.expire()
-		refused := s.refuse != nil && s.refuse(r)
 		s.mu.Unlock()
-		if refused {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		mux.ServeHTTP(w, r)
 	})
 	go func() { _ = http.Serve(listener, handler) }()
@@ -83,13 +76,6 @@
 
 func leftPad(hex string) string { return strings.Repeat("0", 8-len(hex)) + hex }
 
-// setRefusal replaces the function that turns calls away.
-func (s *store) setRefusal(refuse func(*http.Request) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refuse = refuse
-}
-
 func (s *store) write(i storeItem) {
 	s.revision++
 	i.Revision = s.revision
