Log panics of handlers with their stack and count them

Cause: net/http recovers from a panic of a handler and prints it through the standard logger, which the node cuts to 256 bytes.

Change: one reporter for the listeners and for the handlers of the mesh writes a line of severity error with the stack and counts it in mangomast_recovered_panics_total. The connection is still aborted.

Measured: TestPanicOfAHandlerIsReported failed before (no such metric) and passes; the packages internal/httpserver and mesh pass.

--- a/internal/httpserver/guarded.go
+++ b/internal/httpserver/guarded.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mangomast/mangomast/intake"
+	"github.com/mangomast/mangomast/internal/recovered"
 	"github.com/mangomast/mangomast/kernel"
 )
 
@@ -40,6 +41,8 @@
 	// maxHeader returns the largest header that clients may send, in bytes; 0 for the
 	// limit of the server.
 	maxHeader func() int64
+	// panics reports panics of the handler.
+	panics *recovered.Reporter
 
 	mu    sync.Mutex
 	table *intake.Table
@@ -69,7 +72,10 @@
 }
 
 func newGuard(name string, limits intake.Limits, logger log.Interface, registerer prometheus.Registerer) *guard {
-	g := &guard{name: name, limits: limits, log: logger, table: intake.NewTable(limits), closedConns: map[intake.Reason]int{}}
+	g := &guard{
+		name: name, limits: limits, log: logger, table: intake.NewTable(limits), closedConns: map[intake.Reason]int{},
+		panics: recovered.NewReporter(name, logger, registerer),
+	}
 	label := prometheus.Labels{"listener": name}
 	g.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "mangomast_listener_closed_connections_total", ConstLabels: label,
@@ -163,6 +169,7 @@
 		if conn, ok := r.Context().Value(connKey{}).(*guardedConn); ok {
 			conn.setPhase(intake.Serving)
 		}
+		defer g.reportPanic(r)
 		if r.ContentLength != 0 {
 			defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) }()
 		}
@@ -170,6 +177,18 @@
 	})
 }
 
+// reportPanic reports a handler's panic and has net/http abort the connection.
+func (g *guard) reportPanic(r *http.Request) {
+	switch cause := recover(); cause {
+	case nil:
+	case http.ErrAbortHandler:
+		panic(cause)
+	default:
+		g.panics.Report(cause, log.Fields{"method": r.Method, "remote": r.RemoteAddr})
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // setState reports the states in which no request is answered.
 func (g *guard) setState(conn net.Conn, state http.ConnState) {
 	guarded, ok := conn.(*guardedConn)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mangomast/mangomast/internal/bodymemory"
+	"github.com/mangomast/mangomast/internal/recovered"
 )
 
 // Defaults of Options.
@@ -45,6 +46,7 @@
 	secret       []byte
 	log          log.Interface
 	metrics      *metrics
+	panics       *recovered.Reporter
 	http         *http.Client
 	pingInterval time.Duration
 	pingTimeout  time.Duration
@@ -77,6 +79,7 @@
 		secret:       []byte(opts.Secret),
 		log:          opts.Log,
 		metrics:      newMetrics(opts.Registerer),
+		panics:       recovered.NewReporter("mesh handlers", opts.Log, opts.Registerer),
 		http:         newHTTPClient(opts.LocalIP),
 		pingInterval: opts.PingInterval,
 		pingTimeout:  opts.PingTimeout,
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -178,8 +177,7 @@
 	if cause == nil {
 		return
 	}
-	l.mesh.log.WithFields(log.Fields{"kind": kind, "peer": l.identity().VM, "panic": cause, "stack": string(debug.Stack())}).
-		Error("mesh handler panicked; its request is not answered")
+	l.mesh.panics.Report(cause, log.Fields{"kind": kind, "peer": l.identity().VM})
 	_ = l.enqueue(l.ctx, s.class, &frame{Type: frameAbort, Stream: s.id, Message: "the handler failed"})
 }
 
