Reject heartbeats whose slots no upstream can have

Cause: a heartbeat of another writer stated 2^61 slots. admission.SlotsOptions multiplied them by 4, which overflowed to a queue of -2^63; for 2^63-1 slots it is -4.

Change: settings.MaxSlots is the one bound of an upstream's slots, for heartbeats, announcements, settings and entries of other nodes. A heartbeat beyond it, or with a service that is no valid name, names no upstream and is rejected; the last one holds. Independent of that, a controller takes any options: a negative queue counts as empty, and products and rates that do not fit into an int saturate.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -48,9 +48,9 @@
 
 // Options are the inputs of NewController.
 type Options struct {
-	// Slots is the upper bound of the concurrency limit.
+	// Slots is the upper bound of the concurrency limit, at least 1.
 	Slots int
-	// Queue is the maximum number of waiting requests.
+	// Queue is the maximum number of waiting requests; a negative number counts as 0.
 	Queue int
 	// MaxWait is the maximum time in the queue. If the mean service time is
 	// longer, requests may wait for that time instead. During warm-up either is
@@ -86,7 +86,11 @@
 // SlotsOptions returns the options for an upstream whose slots are its actual
 // concurrency, so that no limit has to be learned.
 func SlotsOptions(slots int, maxWait time.Duration) Options {
-	return Options{Slots: slots, Queue: queuePerSlot * slots, MaxWait: maxWait, Limit: LimitOptions{Fixed: true}}
+	queue := math.MaxInt
+	if slots <= math.MaxInt/queuePerSlot {
+		queue = queuePerSlot * slots
+	}
+	return Options{Slots: slots, Queue: queue, MaxWait: maxWait, Limit: LimitOptions{Fixed: true}}
 }
 
 // Controller admits requests to one upstream. It is not safe for concurrent
@@ -115,6 +119,7 @@
 
 // NewController returns a controller for an upstream that has just started.
 func NewController(opts Options, now time.Time) *Controller {
+	opts.Slots, opts.Queue = max(1, opts.Slots), max(0, opts.Queue)
 	return &Controller{
 		opts: opts, limit: NewLimit(opts.Slots, opts.Limit, now), queue: newQueue(),
 		running: map[*Request]bool{}, kindEstimates: map[string]*estimate{}, queueEmptyAt: now, warming: true, lastCold: now,
@@ -211,14 +216,14 @@
 // pacer holds requests back, it is the number that it admits within maxWait.
 func (c *Controller) queueCapacity(now time.Time) int {
 	if rate := c.pacedRate(now); rate > 0 {
-		return min(c.opts.Queue, max(1, int(rate*c.maxWait().Seconds())))
+		return min(c.opts.Queue, max(1, toInt(rate*c.maxWait().Seconds())))
 	}
 	if c.serviceEstimate.mean == 0 {
 		return c.opts.Queue
 	}
 	limit := c.expectedLimit()
-	served := int64(limit) * int64(c.maxWait()) / int64(c.serviceEstimate.mean)
-	return min(c.opts.Queue, max(limit, int(served)))
+	served := float64(limit) * float64(c.maxWait()) / float64(c.serviceEstimate.mean)
+	return min(c.opts.Queue, max(limit, toInt(served)))
 }
 
 // pacedRate returns the requests a second that the pacer admits; 0 if it does not
@@ -237,7 +242,7 @@
 	if rate <= 0 {
 		return c.limit.Value()
 	}
-	return max(1, min(c.limit.Value(), int(math.Ceil(rate*c.serviceEstimate.mean.Seconds()))))
+	return max(1, min(c.limit.Value(), toInt(math.Ceil(rate*c.serviceEstimate.mean.Seconds()))))
 }
 
 // expectedLimit returns the number of slots during warm-up, as the limit is
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -236,5 +236,14 @@
 }
 
 func (l *Limit) set(value float64) {
-	l.value = min(l.slots, max(1, int(value)))
+	l.value = min(l.slots, max(1, toInt(value)))
+}
+
+// toInt converts a number that is not negative. One that does not fit into an int, whose
+// conversion Go does not define, becomes the largest int.
+func toInt(value float64) int {
+	if value >= math.MaxInt {
+		return math.MaxInt
+	}
+	return int(value)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -82,7 +82,7 @@
 const maxColdness = 24 * time.Hour
 
 func (c Coldness) valid() bool {
-	return c.For >= 0 && c.For <= maxColdness && c.Slots >= 0 && c.Slots <= maxSlots
+	return c.For >= 0 && c.For <= maxColdness && c.Slots >= 0 && c.Slots <= settings.MaxSlots
 }
 
 // Departure identifies an upstream incarnation that gave notice of leaving.
@@ -93,10 +93,6 @@
 	Born int64 `cbor:"2,keyasint,omitempty" json:"born,omitempty"`
 }
 
-// maxSlots bounds the slots of an upstream. A larger number is an error of its
-// writer and would attract all requests of the service.
-const maxSlots = 1 << 20
-
 // maxVersion bounds versions. An entry with a larger one could not be replaced
 // by its VM's own announcements.
 const maxVersion = 1 << 48
@@ -118,7 +114,7 @@
 		return errors.New("failure domain or region is not a valid name")
 	case e.State > Gone:
 		return errors.Errorf("state %d is unknown", e.State)
-	case e.Slots < 0 || e.Slots > maxSlots:
+	case e.Slots < 0 || e.Slots > settings.MaxSlots:
 		return errors.Errorf("%d slots are out of range", e.Slots)
 	case !e.Cold.valid():
 		return errors.New("coldness is out of range")
--- a/plugin/guard/upstream.go
+++ b/plugin/guard/upstream.go
@@ -10,6 +10,7 @@
 
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
+	"github.com/mangomast/mangomast/settings"
 )
 
 // maxMissedAnnouncements is the number of missed announcements after which the
@@ -41,6 +42,21 @@
 	ColdFor time.Duration
 }
 
+// Validate returns the first reason why the announcement cannot be from an upstream, or
+// nil. Announcements from outside the process must be validated: any process on the VM
+// can send one.
+func (a *Announcement) Validate() error {
+	switch {
+	case a.Instance == "":
+		return errors.New("instance ID is empty")
+	case !settings.ValidName(a.Service):
+		return errors.Errorf("service %.80q is not a valid name", a.Service)
+	case a.Slots < 1 || a.Slots > settings.MaxSlots:
+		return errors.Errorf("%d slots are not 1 to %d", a.Slots, settings.MaxSlots)
+	}
+	return nil
+}
+
 // ColdUnknown is the Announcement.ColdFor of an upstream that does not tell.
 const ColdUnknown time.Duration = -1
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,6 +18,10 @@
 	"github.com/mangomast/mangomast/jsonc"
 )
 
+// MaxSlots bounds the slots of an upstream, whoever states them. A larger number is an
+// error of its writer and would attract all requests of the service.
+const MaxSlots = 1 << 20
+
 // MinSecretBytes is the minimum length of the fleet secret.
 const MinSecretBytes = 16
 
@@ -259,8 +263,8 @@
 	}
 	checkName(findings, prefix+"/service", u.Service)
 	checkAddress(findings, prefix+"/address", u.Address, true)
-	if u.Slots < 1 {
-		findings.Addf(prefix+"/slots", "must be at least 1")
+	if u.Slots < 1 || u.Slots > MaxSlots {
+		findings.Addf(prefix+"/slots", "must be 1 to %d", MaxSlots)
 	}
 	if u.Connections < u.Slots {
 		findings.Addf(prefix+"/connections", "must be at least the number of slots")
