Undo what a request holds when its handler panics

Change: locks that handlers take around decisions are released by defer (waitqueue, inbound's gate, roster, quota, quarantine). What a request holds is collected in a meshcall.Ending, whose deferred Close undoes it unless the answer's body has taken it over; guard and inbound use it instead of a function that each return path had to call.

--- a/internal/meshcall/meshcall.go
+++ b/internal/meshcall/meshcall.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
@@ -80,3 +81,30 @@
 	defer b.Finish()
 	return b.ReadCloser.Close()
 }
+
+// Ending collects what is undone when a request ends: when Close is called or, after
+// With, when the answer's body is closed. A deferred Close undoes it also if the request
+// panics, which servers recover from. Its zero value is ready to use; it is not safe for
+// concurrent use.
+type Ending struct {
+	steps []func()
+}
+
+// Add adds a step. The last one added runs first.
+func (e *Ending) Add(step func()) { e.steps = append(e.steps, step) }
+
+// Close runs the steps that have not run yet.
+func (e *Ending) Close() {
+	steps := e.steps
+	e.steps = nil
+	for _, step := range steps {
+		defer step()
+	}
+}
+
+// With returns the answer's body, whose Close runs the steps instead.
+func (e *Ending) With(answer io.ReadCloser) io.ReadCloser {
+	moved := *e
+	e.steps = nil
+	return &FinishingBody{ReadCloser: answer, Finish: sync.OnceFunc(moved.Close)}
+}
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -40,11 +40,7 @@
 // Wait blocks until the request may run, is refused, or the context ends. The
 // caller must call Finish for a request that may run.
 func (q *Queue) Wait(ctx context.Context, request *admission.Request) admission.Action {
-	decision := make(chan admission.Action, 1)
-	q.mu.Lock()
-	q.decisions[request] = decision
-	q.deliver(q.controller.Submit(request, q.clock.Now()))
-	q.mu.Unlock()
+	decision := q.submit(request)
 	select {
 	case action := <-decision:
 		return action
@@ -61,6 +57,17 @@
 	}
 }
 
+// submit passes the request to the controller and returns the channel of its decision.
+func (q *Queue) submit(request *admission.Request) <-chan admission.Action {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	actions := q.controller.Submit(request, q.clock.Now())
+	decision := make(chan admission.Action, 1)
+	q.decisions[request] = decision
+	q.deliver(actions)
+	return decision
+}
+
 // cancel removes a request whose context has ended. If the controller has
 // already started the request, its slot is freed.
 func (q *Queue) cancel(ctx context.Context, request *admission.Request, decision <-chan admission.Action) admission.Action {
--- a/plugin/guard/forward.go
+++ b/plugin/guard/forward.go
@@ -31,15 +31,16 @@
 }
 
 // forward sends the request to the upstream and returns its reply.
-func (m *Module) forward(ctx context.Context, r *run) (*call.Reply, io.ReadCloser) {
+func (m *Module) forward(ctx context.Context, r *run) (reply *call.Reply, answer io.ReadCloser) {
+	defer func() {
+		if answer == nil {
+			m.crashes.end(r)
+		}
+	}()
 	outgoing := *r.head
 	outgoing.Timeout = m.deadline(ctx, r.head).Sub(m.clock.Now())
 	a := &attempt{Module: m, ctx: ctx, upstream: r.upstream, head: &outgoing, run: r}
-	reply, answer := a.execute()
-	if answer == nil {
-		m.crashes.end(a.run)
-	}
-	return reply, answer
+	return a.execute()
 }
 
 // execute sends the request and converts the response. The run ends when the returned
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -208,45 +208,45 @@
 	}
 	m.active.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, head.Timeout)
-	end := func() {
+	var end meshcall.Ending
+	defer end.Close()
+	end.Add(func() {
 		cancel()
 		m.active.Add(-1)
-	}
+	})
 	m.cold.configure(m.config.Snapshot())
 	r := newRun(head, body, upstream)
 	slot, refusal := m.admit(ctx, g, r)
 	if refusal != nil {
-		end()
 		refusal.Load = g.load()
 		return refusal, nil
 	}
+	// The reply of a run that panics.
+	reply := call.UnknownOutcome(call.CodeInternal, "the request failed in the node")
+	end.Add(func() {
+		g.release(slot, reply)
+		g.suspects.release(r.weight)
+	})
 	// An evacuation may have begun while the request waited.
 	if refusal := m.checkPlace(head); refusal != nil {
-		g.release(slot, refusal)
-		g.suspects.release(r.weight)
-		end()
+		reply = refusal
+		end.Close()
 		refusal.Load = g.load()
 		return refusal, nil
 	}
 	m.fanout.RecordRun()
-	ended := m.lineage.Add(m.deadline(ctx, head), lineage.ParentOf(head))
+	end.Add(m.lineage.Add(m.deadline(ctx, head), lineage.ParentOf(head)))
 	reply, answer := m.forward(m.cold.watchWrite(ctx, slot), r)
 	if m.runs.Add(1)%runsPerCostReport == 0 {
 		reply.CalleeCosts = m.fanout.Costs()
 	}
-	finish := func() {
-		ended()
-		g.release(slot, reply)
-		g.suspects.release(r.weight)
-		end()
-	}
 	if answer == nil {
-		finish()
+		end.Close()
 		reply.Load = g.load()
 		return reply, nil
 	}
 	reply.Load = g.load()
-	return reply, &meshcall.FinishingBody{ReadCloser: answer, Finish: sync.OnceFunc(finish)}
+	return reply, end.With(answer)
 }
 
 // deadline returns the deadline that the upstream gets with a request.
--- a/plugin/guard/suspects.go
+++ b/plugin/guard/suspects.go
@@ -77,12 +77,8 @@
 			return nil, quarantineplugin.Refusal(left)
 		}
 		r.weight = g.suspects.weight(verdict)
-		if refusal := g.suspects.acquire(ctx, r.weight); refusal != nil {
-			return nil, refusal
-		}
-		slot, refusal := g.acquire(ctx, r.head)
+		slot, refusal := g.acquireIsolated(ctx, r)
 		if refusal != nil {
-			g.suspects.release(r.weight)
 			return nil, refusal
 		}
 		if now, _ := m.quarantine.Verdict(r.fingerprint); now == verdict {
@@ -93,6 +89,20 @@
 	}
 }
 
+// acquireIsolated waits until the run may start beside other suspects, and then in the
+// queue.
+func (g *gate) acquireIsolated(ctx context.Context, r *run) (slot *admission.Request, refusal *call.Reply) {
+	if refusal := g.suspects.acquire(ctx, r.weight); refusal != nil {
+		return nil, refusal
+	}
+	defer func() {
+		if slot == nil {
+			g.suspects.release(r.weight)
+		}
+	}()
+	return g.acquire(ctx, r.head)
+}
+
 // settle ends the suspicion of a request whose answer is complete, also if it became a
 // suspect while it ran.
 func (m *Module) settle(r *run) {
--- a/plugin/inbound/gate.go
+++ b/plugin/inbound/gate.go
@@ -85,9 +85,7 @@
 		Importance: head.Importance, Rank: head.Rank, Organisation: head.Organisation,
 		Weight: organisationWeight(g.module.config.Snapshot(), head.Organisation), Deadline: g.module.clock.Now().Add(head.Timeout),
 	}
-	g.mu.Lock()
-	g.publisher.RecordArrival(request.Importance, request.Organisation, request.Weight, head.Passed)
-	g.mu.Unlock()
+	g.recordArrival(request, head)
 	action := g.waitQueue.Wait(ctx, request)
 	if !action.Run {
 		g.module.metrics.countRefused(head, action.Code)
@@ -97,6 +95,12 @@
 	return &sheddingSlot{gate: g, request: request}, nil
 }
 
+func (g *sheddingGate) recordArrival(request *admission.Request, head *call.Head) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.publisher.RecordArrival(request.Importance, request.Organisation, request.Weight, head.Passed)
+}
+
 // Load implements gate.
 func (g *sheddingGate) Load() call.Load {
 	state := g.waitQueue.State()
--- a/plugin/inbound/isolate.go
+++ b/plugin/inbound/isolate.go
@@ -39,6 +39,12 @@
 	if refusal != nil {
 		return refusal, nil
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			m.isolation.Release(weight)
+		}
+	}()
 	finish := func(failed, answered bool) {
 		crashed := failed && crashprobe.Refused(local.upstream.Address)
 		if found := quarantine.Classify(weight == exclusiveWeight, crashed, answered); found != quarantine.NothingFound {
@@ -47,6 +53,7 @@
 		m.isolation.Release(weight)
 	}
 	reply, answer := m.forward(ctx, local, head, body, token)
+	returned = true
 	if answer == nil {
 		finish(reply.Outcome == call.Unknown && reply.Code == call.CodeUpstreamFailed, false)
 		return reply, nil
--- a/plugin/inbound/leave.go
+++ b/plugin/inbound/leave.go
@@ -24,13 +24,14 @@
 // checked until its answer is closed, so that Drain waits for all requests.
 func (m *Module) serveTracked(ctx context.Context, head *call.Head, body []byte) (*call.Reply, io.ReadCloser) {
 	m.active.Add(1)
-	done := func() { m.active.Add(-1) }
+	var end meshcall.Ending
+	defer end.Close()
+	end.Add(func() { m.active.Add(-1) })
 	reply, answer := m.serve(ctx, head, body)
 	if answer == nil {
-		done()
 		return reply, nil
 	}
-	return reply, &meshcall.FinishingBody{ReadCloser: answer, Finish: done}
+	return reply, end.With(answer)
 }
 
 // Leave implements kernel.Leaver: it marks the node as leaving, which refuses
--- a/plugin/inbound/serve.go
+++ b/plugin/inbound/serve.go
@@ -33,27 +33,27 @@
 		return refusal, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, head.Timeout)
+	var end meshcall.Ending
+	defer end.Close()
+	end.Add(cancel)
 	slot, refusal := local.gate.Acquire(ctx, head)
 	if refusal != nil {
-		cancel()
 		m.annotate(local, head, refusal, nil)
 		return refusal, nil
 	}
 	running := &call.Running{Head: head, Context: ctx, Deadline: m.clock.Now().Add(head.Timeout)}
+	// The reply of a run that panics.
+	reply := call.UnknownOutcome(call.CodeInternal, "the request failed in the node")
+	end.Add(func() { slot.Release(reply, running.Refused()) })
 	token := m.running.Begin(running)
+	end.Add(func() { m.running.End(token) })
 	reply, answer := m.runIsolated(ctx, local, head, body, token)
 	reply.RetriesUsed, reply.Children = running.Retries().Close(), running.Children()
 	m.annotate(local, head, reply, running)
-	finish := func() {
-		m.running.End(token)
-		slot.Release(reply, running.Refused())
-		cancel()
-	}
 	if answer == nil {
-		finish()
 		return reply, nil
 	}
-	return reply, &meshcall.FinishingBody{ReadCloser: answer, Finish: finish}
+	return reply, end.With(answer)
 }
 
 // annotate adds the gate's load to a reply and, if the gate computes levels, its
--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -187,10 +187,13 @@
 	for _, run := range runs {
 		fingerprints = append(fingerprints, run.Fingerprint)
 	}
+	m.record(service, runs, m.accuse(fingerprints))
+}
+
+func (m *Module) accuse(fingerprints []ledger.Fingerprint) map[ledger.Fingerprint]quarantine.Kind {
 	m.mu.Lock()
-	kinds := m.table.Accuse(fingerprints, m.clock.Now())
-	m.mu.Unlock()
-	m.record(service, runs, kinds)
+	defer m.mu.Unlock()
+	return m.table.Accuse(fingerprints, m.clock.Now())
 }
 
 // RecordRun records the finding from one run of a request. After a crash it blocks like
@@ -212,9 +215,16 @@
 
 // record adds a record of each fingerprint, also if several of its copies ran.
 func (m *Module) record(service string, runs []Run, kinds map[ledger.Fingerprint]quarantine.Kind) {
+	records := m.addRecords(runs, kinds)
+	m.logCrash(runs, records)
+	m.broadcast(service, records)
+}
+
+func (m *Module) addRecords(runs []Run, kinds map[ledger.Fingerprint]quarantine.Kind) []quarantine.Record {
 	self := m.mesh.Self()
 	var records []quarantine.Record
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.lastCrash++
 	for _, run := range runs {
 		kind, ok := kinds[run.Fingerprint]
@@ -230,9 +240,7 @@
 		})
 	}
 	m.mergeLocked(records)
-	m.mu.Unlock()
-	m.logCrash(runs, records)
-	m.broadcast(service, records)
+	return records
 }
 
 // logCrash logs what the requests that ran in a crash have become.
--- a/plugin/quota/holders.go
+++ b/plugin/quota/holders.go
@@ -350,13 +350,17 @@
 	if h == nil {
 		return emptyMessage{}, nil
 	}
-	h.mu.Lock()
-	h.holder.Recall()
-	h.mu.Unlock()
+	h.recall()
 	s.sendDue(h)
 	return emptyMessage{}, nil
 }
 
+func (h *nodeShare) recall() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.holder.Recall()
+}
+
 // release returns every share to its owner.
 func (s *holders) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
--- a/plugin/roster/gossip.go
+++ b/plugin/roster/gossip.go
@@ -238,12 +238,7 @@
 }
 
 func (m *Module) serveExchange(_ context.Context, _ mesh.Identity, theirs digest) (answer, error) {
-	reply := answer{}
-	m.mu.Lock()
-	if predecessor, ok := m.roster.Predecessor(theirs.Self); ok {
-		reply.Predecessor = &predecessor
-	}
-	m.mu.Unlock()
+	reply := answer{Predecessor: m.predecessor(theirs.Self)}
 	m.handleEvacuations(theirs.Evacuations, theirs.Self.VM)
 	m.mergeEntries(theirs.Self, theirs.Watches, nil)
 	m.mu.Lock()
@@ -266,6 +261,17 @@
 	return reply, nil
 }
 
+// predecessor returns the entry of the VM's earlier incarnation, or nil.
+func (m *Module) predecessor(self membership.Entry) *membership.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	predecessor, ok := m.roster.Predecessor(self)
+	if !ok {
+		return nil
+	}
+	return &predecessor
+}
+
 // mergeEntries merges another node's own entry, the state of its watch and the
 // entries that it forwarded, and calls the entry handlers with its own entry.
 func (m *Module) mergeEntries(self membership.Entry, watching bool, forwarded []membership.Entry) {
@@ -274,7 +280,17 @@
 		m.log.WithError(err).Warn("ignoring an exchange with a node whose own entry is invalid")
 		return
 	}
+	m.mergeValid(self, watching, forwarded, now)
+	for _, f := range m.entryHandlers {
+		f(self)
+	}
+}
+
+// mergeValid merges another node's own entry, which is valid, and those that it
+// forwarded, if they are.
+func (m *Module) mergeValid(self membership.Entry, watching bool, forwarded []membership.Entry, now time.Time) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.watchAssignment.Observe(self.VM, watching, now)
 	changed := m.roster.Observe(self, now)
 	for _, entry := range forwarded {
@@ -285,8 +301,4 @@
 	if changed {
 		m.publish()
 	}
-	m.mu.Unlock()
-	for _, f := range m.entryHandlers {
-		f(self)
-	}
 }
