Charge a spilled answer of any stated length at once

Callers would see all requests of a node hang: an upstream in another region that answers with Content-Length 2^63-1 has the balancer charge that many bytes in steps of the burst, under its mutex (for 2^40 bytes it takes 0.9 s).

The sum of the request's and the answer's length cannot overflow (routing.TransferredBytes, which both dispatchers use).

Measured: TestAnswerOfAnyLengthIsCharged failed before (still charging after 1 s) and passes; TestSpillBytesAreBounded and go test -race ./routing pass.

--- a/plugin/dispatch/send.go
+++ b/plugin/dispatch/send.go
@@ -22,7 +22,7 @@
 	now := d.clock.Now()
 	d.picker.Done(routing.Result{
 		Entry: entry, Head: &d.head, Reply: reply, Latency: now.Sub(started),
-		Bytes: len(d.body) + max(0, int(reply.Length)), Now: now,
+		Bytes: routing.TransferredBytes(d.body, reply), Now: now,
 	})
 	d.leafServices.observe(d.head.Service, reply)
 	d.budget.Settle(head.RetryBudget, reply.RetriesUsed)
--- a/plugin/entry/dispatch.go
+++ b/plugin/entry/dispatch.go
@@ -115,7 +115,7 @@
 	now := d.clock.Now()
 	d.picker.Done(routing.Result{
 		Entry: entry, Head: &head, Reply: reply, Latency: now.Sub(started),
-		Bytes: len(d.body) + max(0, int(reply.Length)), Now: now,
+		Bytes: routing.TransferredBytes(d.body, reply), Now: now,
 	})
 	d.req.triedVMs = append(d.req.triedVMs, entry.VM)
 	d.req.attempts = append(d.req.attempts, fmt.Sprintf("%s %s %s %d %dms", entry.VM, reply.Outcome, reply.Code, reply.Status, now.Sub(started).Milliseconds()))
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -37,6 +37,12 @@
 	Now   time.Time
 }
 
+// TransferredBytes returns the Result.Bytes of a request with the body. An upstream may
+// state any length of its answer; one that is too long is not passed on.
+func TransferredBytes(body []byte, reply *call.Reply) int {
+	return len(body) + int(max(0, min(reply.Length, maxChargedBytes)))
+}
+
 // Picker selects VMs. It is safe for concurrent use.
 type Picker interface {
 	// Pick returns one of the candidates; ok is false if none is eligible.
