--- a/config/validate.go
+++ b/config/validate.go
@@ -88,8 +88,8 @@
 	for i, s := range services {
 		pointer := fmt.Sprintf("/services/%d", i)
 		v.id(pointer+"/id", s.ID, seen)
-		if !(s.ColdRate >= 0) {
-			v.findings.Addf(pointer+"/cold_rate", "must not be negative")
+		if !(s.ColdRate >= 0) || s.ColdRate > MaxRate {
+			v.findings.Addf(pointer+"/cold_rate", "must be 0 to %.0f requests a second", MaxRate)
 		}
 		if s.ColdStart < 0 {
 			v.findings.Addf(pointer+"/cold_start", "must not be negative")
--- a/internal/httpserver/guarded.go
+++ b/internal/httpserver/guarded.go
@@ -238,7 +238,7 @@
 		return false
 	}
 	limit := c.guard.maxHeader()
-	return limit > 0 && headBytes > limit+headSlackBytes
+	return limit > 0 && headBytes-headSlackBytes > limit
 }
 
 // countHead counts n bytes of a head that now has total bytes.
--- a/internal/httpserver/guarded_test.go
+++ b/internal/httpserver/guarded_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -73,6 +74,19 @@
 	}
 }
 
+// TestLargestHeaderLimitRefusesNothing guards against a limit to which nothing can be
+// added, which refused all heads above 4 KiB.
+func TestLargestHeaderLimitRefusesNothing(t *testing.T) {
+	s := startGuarded(t, settings.Limits{MemoryMB: 64, Descriptors: 800}, func(http.ResponseWriter, *http.Request) {})
+	s.LimitHeader(func() int64 { return math.MaxInt64 })
+	conn, err := net.Dial("tcp", s.Address())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	status, err := exchange(conn, "GET / HTTP/1.1\r\nHost: a\r\nX-Line: "+strings.Repeat("x", 6<<10)+"\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
+
 // TestRefusalDoesNotWaitForTheBody refuses a request whose body does not arrive.
 // net/http waits for it before it sends the response.
 func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
--- a/warming/warming.go
+++ b/warming/warming.go
@@ -24,6 +24,10 @@
 	windowMargin = 100 * time.Millisecond
 	// second is the window of the bound.
 	second = time.Second
+	// maxWindow is the window of VMs that bear less than one request in that time.
+	maxWindow = time.Hour
+	// maxAllowance bounds the allowance.
+	maxAllowance = 1 << 30
 	// evidenceShare is the share of the allowance that must be used before evidence
 	// is wanted; the rest is for requests that come while it is fetched.
 	evidenceShare = 0.8
@@ -53,13 +57,15 @@
 func (b Bound) rate() float64 { return b.Rate * max(1, b.Overage) }
 
 // Allowance returns the maximum number of requests in any one second, at least 1.
-func (b Bound) Allowance() int { return max(1, int(math.Floor(b.rate()+max(0, b.Slack)))) }
+func (b Bound) Allowance() int {
+	return max(1, int(math.Floor(min(maxAllowance, b.rate()+max(0, b.Slack)))))
+}
 
 // window returns the time in which Allowance requests may be handed over.
 func (b Bound) window() time.Duration {
 	length := second
 	if perSecond := b.rate() + max(0, b.Slack); perSecond < 1 {
-		length = time.Duration(float64(second) / perSecond)
+		length = time.Duration(min(float64(maxWindow), float64(second)/perSecond))
 	}
 	return length + windowMargin
 }
