Bound the other numbers that are multiplied by a unit

An announcement's ttl_ms passed its check if the product happened to overflow into the range; a long Retry-After made client send again at once; a lease whose remaining time overflows counted as expired, so that its node asked for another each time; limits.memory_mb could overflow to a negative limit. They are compared before they are multiplied, or saturate.

--- a/client/client.go
+++ b/client/client.go
@@ -28,6 +28,8 @@
 	defaultTryTimeout = 10 * time.Second
 	minBackoff        = 50 * time.Millisecond
 	maxBackoff        = 1 * time.Second
+	// maxRetryAfterSeconds bounds the Retry-After that is waited for.
+	maxRetryAfterSeconds = 3600
 	// avoidAfterError is how long a node is avoided after a failed request.
 	// avoidAfterClose is how long a node is avoided after it closed the
 	// connection with its response, as nodes do when they shut down.
@@ -273,8 +275,8 @@
 func backoff(ctx context.Context, attempt int, last *Response) error {
 	wait := min(maxBackoff, minBackoff<<attempt)
 	wait = wait/2 + rand.N(wait/2)
-	if seconds, err := strconv.Atoi(last.Header.Get("Retry-After")); err == nil && seconds > 0 {
-		wait = time.Duration(seconds) * time.Second
+	if after, ok := retryAfter(last); ok {
+		wait = after
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -285,3 +287,12 @@
 		return ctx.Err()
 	}
 }
+
+// retryAfter returns the time in the Retry-After header, if there is one.
+func retryAfter(resp *Response) (time.Duration, bool) {
+	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || seconds <= 0 {
+		return 0, false
+	}
+	return time.Duration(min(seconds, maxRetryAfterSeconds)) * time.Second, true
+}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -83,3 +84,12 @@
 	assert.Equal(t, node.createdIDs, 0)
 	assert.Equal(t, resp.Outcome, call.Answered)
 }
+
+// TestLongRetryAfterIsWaitedFor guards against a Retry-After whose product overflows, so
+// that the request is sent again at once.
+func TestLongRetryAfterIsWaitedFor(t *testing.T) {
+	for _, seconds := range []string{"3601", "9223372037", "9223372036854775807"} {
+		wait, ok := retryAfter(&Response{Header: http.Header{"Retry-After": {seconds}}})
+		assert.Check(t, ok && wait == time.Hour, "%s s: %s", seconds, wait)
+	}
+}
--- a/plugin/inbound/upstream.go
+++ b/plugin/inbound/upstream.go
@@ -56,7 +56,7 @@
 		findings.Addf("/service", "must be given")
 	}
 	upstream.Validate("", findings)
-	if ttl := a.ttl(); ttl < minTTL || ttl > maxTTL {
+	if ttl := int64(a.TTLMillis); ttl != 0 && (ttl < minTTL.Milliseconds() || ttl > maxTTL.Milliseconds()) {
 		findings.Addf("/ttl_ms", "must be %d to %d", minTTL.Milliseconds(), maxTTL.Milliseconds())
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -95,6 +95,7 @@
 	defaultDescriptors = 4096
 	// minMemoryMB and minDescriptors are the least with which a node serves requests.
 	minMemoryMB    = 48
+	maxMemoryMB    = 1 << 30
 	minDescriptors = 256
 )
 
@@ -111,8 +112,8 @@
 }
 
 func (l Limits) validate(findings *finding.List) {
-	if l.MemoryMB < minMemoryMB {
-		findings.Addf("/limits/memory_mb", "must be at least %d", minMemoryMB)
+	if l.MemoryMB < minMemoryMB || l.MemoryMB > maxMemoryMB {
+		findings.Addf("/limits/memory_mb", "must be %d to %d", minMemoryMB, maxMemoryMB)
 	}
 	if l.Descriptors < minDescriptors {
 		findings.Addf("/limits/descriptors", "must be at least %d", minDescriptors)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,10 +1,13 @@
 package settings
 
 import (
+	"math"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mangomast/mangomast/finding"
 )
 
 const validSettings = `{
@@ -55,3 +58,15 @@
 		_ = findings.Err()
 	})
 }
+
+// TestNumbersOutOfRangeAreFindings guards against limits whose product overflows.
+func TestNumbersOutOfRangeAreFindings(t *testing.T) {
+	findings := &finding.List{}
+	Limits{MemoryMB: math.MaxInt, Descriptors: minDescriptors}.validate(findings)
+	(&Upstream{Service: "quotes", Address: "127.0.0.1:1", Slots: 1 << 61, Connections: math.MaxInt}).Validate("/upstream", findings)
+	fields := []string{}
+	for _, f := range findings.Findings() {
+		fields = append(fields, f.Field)
+	}
+	assert.DeepEqual(t, fields, []string{"/limits/memory_mb", "/upstream/slots"})
+}
--- a/store/etcd/etcd.go
+++ b/store/etcd/etcd.go
@@ -138,7 +138,7 @@
 func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
 	var resp KeepAliveResponse
 	err := c.call(ctx, PathKeepAlive, LeaseRequest{ID: int64(id)}, &resp)
-	return time.Duration(resp.Result.TTL) * time.Second, err
+	return store.Lifetime(resp.Result.TTL, time.Second), err
 }
 
 // Revoke implements store.Store.
--- a/store/store.go
+++ b/store/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -125,3 +126,12 @@
 	// Revoke revokes a lease and deletes the keys attached to it.
 	Revoke(ctx context.Context, id LeaseID) error
 }
+
+// Lifetime returns the remaining time of a lease that a store states as a number of
+// units. One that does not fit into a time.Duration becomes the longest.
+func Lifetime(count int64, unit time.Duration) time.Duration {
+	if count > int64(math.MaxInt64/unit) {
+		return math.MaxInt64
+	}
+	return time.Duration(max(0, count)) * unit
+}
