Report attempts that panic to the picker, and close their connections

Change: both dispatchers report the result of an attempt in a deferred call, with an unknown outcome if there is no reply; guard closes the connection of an attempt without a reply.

--- a/call/call.go
+++ b/call/call.go
@@ -272,6 +272,9 @@
 	return &Reply{Outcome: Unknown, Code: code, Message: message}
 }
 
+// FailedInNode returns the reply of a request whose handler panicked.
+func FailedInNode() *Reply { return UnknownOutcome(CodeInternal, "the request failed in the node") }
+
 // HeaderFields converts an HTTP header to a list of fields.
 func HeaderFields(header http.Header) []Field {
 	fields := make([]Field, 0, len(header))
--- a/plugin/dispatch/send.go
+++ b/plugin/dispatch/send.go
@@ -16,19 +16,29 @@
 func (d *dispatch) try(ctx context.Context, entry membership.Entry) (*call.Reply, io.ReadCloser) {
 	head := d.head
 	head.RetryBudget = d.lendRetries()
-	started := d.clock.Now()
-	d.picker.Begin(d.attempt(), entry)
-	reply, answer := d.send(ctx, entry, &head)
-	now := d.clock.Now()
-	d.picker.Done(routing.Result{
-		Entry: entry, Head: &d.head, Reply: reply, Latency: now.Sub(started),
-		Bytes: routing.TransferredBytes(d.body, reply), Now: now,
-	})
+	reply, answer := d.sendRecorded(ctx, entry, &head)
 	d.leafServices.observe(d.head.Service, reply)
 	d.budget.Settle(head.RetryBudget, reply.RetriesUsed)
 	return reply, answer
 }
 
+// sendRecorded sends the call and reports the result to the picker, also if it panics.
+func (d *dispatch) sendRecorded(ctx context.Context, entry membership.Entry, head *call.Head) (reply *call.Reply, answer io.ReadCloser) {
+	started := d.clock.Now()
+	d.picker.Begin(d.attempt(), entry)
+	defer func() {
+		if reply == nil {
+			reply = call.FailedInNode()
+		}
+		now := d.clock.Now()
+		d.picker.Done(routing.Result{
+			Entry: entry, Head: &d.head, Reply: reply, Latency: now.Sub(started),
+			Bytes: routing.TransferredBytes(d.body, reply), Now: now,
+		})
+	}()
+	return d.send(ctx, entry, head)
+}
+
 // send returns the VM's reply, or a reply that states the outcome if there was
 // none. If the outcome is unknown, all lent retries count as used.
 func (d *dispatch) send(ctx context.Context, entry membership.Entry, head *call.Head) (*call.Reply, io.ReadCloser) {
--- a/plugin/entry/dispatch.go
+++ b/plugin/entry/dispatch.go
@@ -110,15 +110,9 @@
 	started := d.clock.Now()
 	head.Timeout = d.deadline.Sub(started)
 	head.Attempt = d.tracker.Sends()
-	d.picker.Begin(d.routingAttempt(), entry)
-	reply, answer := d.send(ctx, entry, &head)
-	now := d.clock.Now()
-	d.picker.Done(routing.Result{
-		Entry: entry, Head: &head, Reply: reply, Latency: now.Sub(started),
-		Bytes: routing.TransferredBytes(d.body, reply), Now: now,
-	})
+	reply, answer := d.sendRecorded(ctx, entry, &head)
 	d.req.triedVMs = append(d.req.triedVMs, entry.VM)
-	d.req.attempts = append(d.req.attempts, fmt.Sprintf("%s %s %s %d %dms", entry.VM, reply.Outcome, reply.Code, reply.Status, now.Sub(started).Milliseconds()))
+	d.req.attempts = append(d.req.attempts, fmt.Sprintf("%s %s %s %d %dms", entry.VM, reply.Outcome, reply.Code, reply.Status, d.clock.Since(started).Milliseconds()))
 	d.recordCosts(reply)
 	if reply.Code == call.CodeEvacuated {
 		d.evacuated = append(d.evacuated, entry.FailureDomain)
@@ -126,6 +120,23 @@
 	return reply, answer
 }
 
+// sendRecorded sends the request and reports the result to the picker, also if it panics.
+func (d *dispatch) sendRecorded(ctx context.Context, entry membership.Entry, head *call.Head) (reply *call.Reply, answer io.ReadCloser) {
+	started := d.clock.Now()
+	d.picker.Begin(d.routingAttempt(), entry)
+	defer func() {
+		if reply == nil {
+			reply = call.FailedInNode()
+		}
+		now := d.clock.Now()
+		d.picker.Done(routing.Result{
+			Entry: entry, Head: head, Reply: reply, Latency: now.Sub(started),
+			Bytes: routing.TransferredBytes(d.body, reply), Now: now,
+		})
+	}()
+	return d.send(ctx, entry, head)
+}
+
 // recordCosts records the calls that one run of the service causes at other
 // services.
 func (d *dispatch) recordCosts(reply *call.Reply) {
--- a/plugin/guard/forward.go
+++ b/plugin/guard/forward.go
@@ -45,7 +45,12 @@
 
 // execute sends the request and converts the response. The run ends when the returned
 // body is closed, or with the call if there is none.
-func (a *attempt) execute() (*call.Reply, io.ReadCloser) {
+func (a *attempt) execute() (reply *call.Reply, answer io.ReadCloser) {
+	defer func() {
+		if reply == nil && a.conn != nil {
+			a.conn.Close()
+		}
+	}()
 	req, err := a.buildRequest(a.run.body)
 	if err != nil {
 		return call.Refuse(call.CodeBadRequest, "the request cannot be built"), nil
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -222,7 +222,7 @@
 		return refusal, nil
 	}
 	// The reply of a run that panics.
-	reply := call.UnknownOutcome(call.CodeInternal, "the request failed in the node")
+	reply := call.FailedInNode()
 	end.Add(func() {
 		g.release(slot, reply)
 		g.suspects.release(r.weight)
--- a/plugin/guard/panic_test.go
+++ b/plugin/guard/panic_test.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -35,7 +36,14 @@
 // TestPanicOfARunFreesItsSlot guards against slots, running requests and counts that stay
 // taken when a server recovers from a panic.
 func TestPanicOfARunFreesItsSlot(t *testing.T) {
-	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	closed := make(chan struct{}, 3)
+	upstream := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	upstream.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	upstream.Start()
 	defer upstream.Close()
 	source := fixedConfig{snapshot: config.NewSnapshot(&config.Document{}, 1)}
 	m := &Module{
@@ -57,5 +65,10 @@
 		assert.Assert(t, !m.Busy())
 		assert.Equal(t, m.load().Running, 0)
 		assert.Equal(t, len(m.crashes.running), 0)
+		select {
+		case <-closed:
+		case <-time.After(time.Second):
+			t.Fatal("the connection to the upstream is still open")
+		}
 	}
 }
--- a/plugin/inbound/serve.go
+++ b/plugin/inbound/serve.go
@@ -43,7 +43,7 @@
 	}
 	running := &call.Running{Head: head, Context: ctx, Deadline: m.clock.Now().Add(head.Timeout)}
 	// The reply of a run that panics.
-	reply := call.UnknownOutcome(call.CodeInternal, "the request failed in the node")
+	reply := call.FailedInNode()
 	end.Add(func() { slot.Release(reply, running.Refused()) })
 	token := m.running.Begin(running)
 	end.Add(func() { m.running.End(token) })
