Let a planned stop outlast a listener that closes before its last Accept

Callers of a node that stops on a busy machine would see their running requests cut: if its Serve loop did not run for 0.6 s, the stop closed the listener, Accept returned "use of closed network connection", and the run group ended the node at once instead of draining it.

Found by TestShutdownAnswersAcceptedRequests, which failed once under the race detector at a load average of 26; after a stop, a closed listener is a drained one.

--- a/internal/httpserver/guarded_test.go
+++ b/internal/httpserver/guarded_test.go
@@ -22,14 +22,18 @@
 	"github.com/mangomast/mangomast/settings"
 )
 
-// startGuarded runs a server with the limits of a process.
+// startGuarded runs a server with the limits of a process, whose heads have at most 8 KiB.
 func startGuarded(t *testing.T, limits settings.Limits, handler http.HandlerFunc) *Server {
+	return startLimited(t, limits, 8<<10, handler)
+}
+
+func startLimited(t *testing.T, limits settings.Limits, maxHeaderBytes int64, handler http.HandlerFunc) *Server {
 	ctx := &kernel.Context{
 		Node: &settings.Node{Limits: limits}, Clock: clockwork.NewRealClock(),
 		Log: &log.Logger{Handler: discard.New()}, Registry: prometheus.NewRegistry(),
 	}
 	s := NewForListener(ctx, "test", "127.0.0.1:0", handler, intake.CallersShare)
-	s.LimitHeader(func() int64 { return 8 << 10 })
+	s.LimitHeader(func() int64 { return maxHeaderBytes })
 	assert.NilError(t, s.Listen())
 	go func() { _ = s.Run(t.Context()) }()
 	return s
@@ -77,8 +81,7 @@
 // TestLargestHeaderLimitRefusesNothing guards against a limit to which nothing can be
 // added, which refused all heads above 4 KiB.
 func TestLargestHeaderLimitRefusesNothing(t *testing.T) {
-	s := startGuarded(t, settings.Limits{MemoryMB: 64, Descriptors: 800}, func(http.ResponseWriter, *http.Request) {})
-	s.LimitHeader(func() int64 { return math.MaxInt64 })
+	s := startLimited(t, settings.Limits{MemoryMB: 64, Descriptors: 800}, math.MaxInt64, func(http.ResponseWriter, *http.Request) {})
 	conn, err := net.Dial("tcp", s.Address())
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -57,6 +57,9 @@
 		_ = l.SetDeadline(now.Add(acceptQuiet))
 	}
 	conn, err := l.acceptGuarded()
+	if errors.Is(err, net.ErrClosed) && l.stopped.Load() != nil {
+		return nil, errDrained
+	}
 	var timeout net.Error
 	if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
 		return conn, err
