--- a/review/testdata/fleet3/main.go
+++ b/review/testdata/fleet3/main.go
@@ -21,7 +21,8 @@
 type scenario func(f *fleet, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"many-lines": playManyLines,
+	"many-lines":  playManyLines,
+	"drain-queue": playDrainQueue,
 }
 
 // maxLength is how long a case may run; it is ended then as one that could not run.
