Review: unfinished bodies shut ordinary callers out

Cause: a connection counts as serving while its handler waits for the body, and is then never closed for a new one.

--- a/review/testdata/fleet3/main.go
+++ b/review/testdata/fleet3/main.go
@@ -21,8 +21,9 @@
 type scenario func(f *fleet, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"many-lines":  playManyLines,
-	"drain-queue": playDrainQueue,
+	"many-lines":   playManyLines,
+	"drain-queue":  playDrainQueue,
+	"crowd-bodies": playCrowdBodies,
 }
 
 // maxLength is how long a case may run; it is ended then as one that could not run.
