--- a/review/testdata/fleet3/main.go
+++ b/review/testdata/fleet3/main.go
@@ -21,9 +21,10 @@
 type scenario func(f *fleet, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"many-lines":   playManyLines,
-	"drain-queue":  playDrainQueue,
-	"crowd-bodies": playCrowdBodies,
+	"many-lines":      playManyLines,
+	"drain-queue":     playDrainQueue,
+	"crowd-bodies":    playCrowdBodies,
+	"forgotten-leave": playForgottenLeave,
 }
 
 // maxLength is how long a case may run; it is ended then as one that could not run.
