Review: a path with an unescaped bar reaches the server changed

Cause: the guard parses the request target and prints it again, which drops the client's encoding where a byte needs escaping.

--- a/review/testdata/fleet3/main.go
+++ b/review/testdata/fleet3/main.go
@@ -25,6 +25,7 @@
 	"drain-queue":     playDrainQueue,
 	"crowd-bodies":    playCrowdBodies,
 	"forgotten-leave": playForgottenLeave,
+	"raw-path":        playRawPath,
 }
 
 // maxLength is how long a case may run; it is ended then as one that could not run.
