Review: the crowds' scripts check their descriptors first

Cause: with a low limit of descriptors the crowd would be too small to show anything. Change: such a case ends as one that could not run.

--- a/review/testdata/fleet3/case_bodies.go
+++ b/review/testdata/fleet3/case_bodies.go
@@ -24,6 +24,9 @@
 		// stable is the time without a new connection that breaks the rule.
 		stable = 4 * time.Second
 	)
+	if err := checkDescriptors(crowdSize); err != nil {
+		return nil, err
+	}
 	front, err := f.add("front", "riga-vecriga", "quotes", 64, 160*time.Millisecond)
 	if err != nil {
 		return nil, err
--- a/review/testdata/fleet3/case_lines.go
+++ b/review/testdata/fleet3/case_lines.go
@@ -24,6 +24,9 @@
 		// memoryBytes is what the machine has.
 		memoryBytes = 284_000_000
 	)
+	if err := checkDescriptors(crowdSize); err != nil {
+		return nil, err
+	}
 	front, err := f.add("front", "riga-vecriga", "quotes", 64, 160*time.Millisecond)
 	if err != nil {
 		return nil, err
--- a/review/testdata/fleet3/fleet.go
+++ b/review/testdata/fleet3/fleet.go
@@ -241,3 +241,17 @@
 	time.Sleep(stable)
 	return nil
 }
+
+// checkDescriptors returns an error if this process may not have as many descriptors open
+// at once as a crowd of clients needs.
+func checkDescriptors(crowdSize int) error {
+	const spare = 500
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if limit.Cur < uint64(crowdSize+spare) {
+		return fmt.Errorf("a crowd of %d clients needs more than the %d descriptors that are allowed", crowdSize, limit.Cur)
+	}
+	return nil
+}
