--- a/review/testdata/fleet3/case_forgotten.go
+++ b/review/testdata/fleet3/case_forgotten.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// drainTime is how long a leaving server may get requests after the acknowledgement.
+const drainTime = 2500 * time.Millisecond
+
 // playForgottenLeave has the store fail while a server gives notice of leaving, and kills
 // all nodes after that was acknowledged. A heartbeat from before the notice comes late. The
 // server may get no requests of machines in touch later than the drain time after the
