Review: a stopping node cuts requests that it takes for calls

Cause: a request without a key counts as a call of the local upstream if its deadline is near that of any request that runs there, and is taken until a second before the end.

--- a/review/testdata/fleet3/main.go
+++ b/review/testdata/fleet3/main.go
@@ -21,6 +21,7 @@
 type scenario func(f *fleet, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
+	"stop-public":     playStopPublic,
 	"crowd-bodies":    playCrowdBodies,
 	"forgotten-leave": playForgottenLeave,
 	"raw-path":        playRawPath,
