Review: a restarted node loses a departure to the first node that asks it

Cause: the other node replaces its record of the former process by the new one before the restarted node asks for its predecessor.

--- a/review/testdata/fleet3/main.go
+++ b/review/testdata/fleet3/main.go
@@ -24,6 +24,7 @@
 	"stop-public":     playStopPublic,
 	"crowd-bodies":    playCrowdBodies,
 	"forgotten-leave": playForgottenLeave,
+	"refused-restart": playRefusedRestart,
 	"raw-path":        playRawPath,
 }
 
