--- a/review/testdata/fleet3/case_stop.go
+++ b/review/testdata/fleet3/case_stop.go
@@ -71,8 +71,13 @@
 	})
 	group.Go(func() {
 		each(publicRate, length, func(i int) {
-			r := f.send(stopped, request{method: http.MethodGet, host: "boards.example", target: fmt.Sprintf("/public/%d", i), patience: publicWaits, keyless: true})
-			f.record.printf("request %s without a key, sent at %.3f s: status %d, signed %t, error %v", r.id, f.record.at(r.sent), r.status, r.signed, r.err)
+			// Every other one may not be repeated.
+			method, target := http.MethodGet, fmt.Sprintf("/public/%d", i)
+			if i%2 == 0 {
+				method, target = http.MethodPost, fmt.Sprintf("/order/%d", i)
+			}
+			r := f.send(stopped, request{method: method, host: "boards.example", target: target, patience: publicWaits, keyless: true})
+			f.record.printf("request %s without a key, %s %s, sent at %.3f s: status %d, signed %t, error %v", r.id, method, target, f.record.at(r.sent), r.status, r.signed, r.err)
 			mu.Lock()
 			defer mu.Unlock()
 			public = append(public, r)
@@ -92,8 +97,8 @@
 		if !ok || r.signed && r.err == nil || r.ended.Sub(r.sent) >= publicWaits {
 			continue
 		}
-		line := fmt.Sprintf("request %s, sent at %.3f s, was passed on at %.3f s and ended at %.3f s with status %d, error %v",
-			r.id, f.record.at(r.sent), f.record.at(begun.arrived), f.record.at(r.ended), r.status, r.err)
+		line := fmt.Sprintf("request %s (%s %s), sent at %.3f s, was passed on at %.3f s and ended at %.3f s with status %d, error %v",
+			r.id, begun.method, begun.target, f.record.at(r.sent), f.record.at(begun.arrived), f.record.at(r.ended), r.status, r.err)
 		if !trouble || r.sent.Sub(stoppedAt) > excusedUntil {
 			broken = append(broken, fmt.Sprintf("%s; it was sent %d ms after the SIGTERM", line, r.sent.Sub(stoppedAt).Milliseconds()))
 		} else {
