--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Plays the case refused-restart. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case
+# Plays the case forgotten-leave. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case
 # could not run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/mangomast-sidecar target/review-3/fleet3; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review-3/fleet3 refused-restart review/14/record.txt target/mangomast-sidecar deploy/settings.tmpl
+exec target/review-3/fleet3 forgotten-leave review/14/record.txt target/mangomast-sidecar deploy/settings.tmpl
