Take late requests of a stopping node only if they end before it does

Cause: a stopping node takes a keyless request for a call of its upstream if its deadline is within 30 ms of a running request's. Callers' requests are often that near, and those were taken until a second before the end however long they were allowed to run.

Fix: a match only says that the request may be a call; after the grace it is taken only if its timeout passes before the node ends, so that neither a call nor a caller's request can be cut. The check moved behind the route, whose timeout it needs.

--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -174,7 +174,7 @@
 // handle runs the checks and dispatches the request.
 func (m *Module) handle(c echo.Context, req *request) (*call.Reply, io.ReadCloser) {
 	r := c.Request()
-	for _, check := range []func(*http.Request, *request) *call.Reply{m.readCaller, m.refuseWhenStopping, m.readConfig, m.matchRoute, m.authenticate, m.checkRate} {
+	for _, check := range []func(*http.Request, *request) *call.Reply{m.readCaller, m.readConfig, m.matchRoute, m.refuseWhenStopping, m.authenticate, m.checkRate} {
 		if refusal := check(r, req); refusal != nil {
 			return refusal, nil
 		}
--- a/plugin/entry/stop.go
+++ b/plugin/entry/stop.go
@@ -17,9 +17,9 @@
 	// stoppingRetryAfter is the Retry-After of a stopping node. It is short
 	// because other nodes serve the caller at once.
 	stoppingRetryAfter = 50 * time.Millisecond
-	// callTime is the time that a call of the local upstream may need to finish.
-	// Calls are short beside the requests that make them.
-	callTime = time.Second
+	// answerTime is the time to write the answer of a request whose deadline has
+	// passed, before the node ends.
+	answerTime = 100 * time.Millisecond
 )
 
 // stopPolicy decides which requests a stopping node still takes. The load that it
@@ -40,13 +40,14 @@
 }
 
 // takes reports whether the node takes a request at the time since the stop began.
-// Calls of requests that still run on the local upstream are taken for longer,
-// because those requests fail without them.
-func (p stopPolicy) takes(since time.Duration, isCall bool) bool {
-	if isCall {
-		return since <= max(p.grace, p.drain-callTime)
+// Requests that may be calls of the local upstream are taken for longer, because
+// their parents fail without them, but only if their timeout is over before the node
+// ends: a caller's request may look like a call, and either may last until then.
+func (p stopPolicy) takes(since, timeout time.Duration, mayBeCall bool) bool {
+	if since <= p.grace {
+		return true
 	}
-	return since <= p.grace
+	return mayBeCall && since+timeout <= p.drain-answerTime
 }
 
 // Leave implements kernel.Leaver.
@@ -57,20 +58,23 @@
 	m.log.WithField("active", m.active.Load()).Info("shutting down: not ready for new callers, closing keep-alive connections")
 }
 
-// takes reports whether the node still takes a request. It always does while it
-// is not stopping.
-func (m *Module) takes(isCall bool) bool {
+// takesCallers reports whether the node still takes any request. It always does while
+// it is not stopping.
+func (m *Module) takesCallers() bool {
 	since := m.stoppingSince.Load()
-	return since == nil || m.stopPolicy.takes(m.clock.Since(*since), isCall)
+	return since == nil || m.stopPolicy.takes(m.clock.Since(*since), 0, false)
 }
 
 // refuseWhenStopping refuses a request that might not finish before the process
 // exits.
 func (m *Module) refuseWhenStopping(_ *http.Request, req *request) *call.Reply {
-	if m.takes(false) {
+	since := m.stoppingSince.Load()
+	if since == nil {
 		return nil
 	}
-	if _, isCall := m.parent(req); isCall && m.takes(true) {
+	_, mayBeCall := m.parent(req)
+	now := m.clock.Now()
+	if m.stopPolicy.takes(now.Sub(*since), req.started.Add(m.timeout(req)).Sub(now), mayBeCall) {
 		return nil
 	}
 	refusal := call.Refuse(call.CodeLeaving, "the node is stopping")
@@ -83,7 +87,7 @@
 // Requests that other nodes sent to the local upstream count too, because the
 // upstream makes their calls through this node.
 func (m *Module) Drain(ctx context.Context) error {
-	for m.takes(false) || m.active.Load() > 0 || m.guard.Busy() {
+	for m.takesCallers() || m.active.Load() > 0 || m.guard.Busy() {
 		if err := kernel.Sleep(ctx, m.clock, drainPollInterval); err != nil {
 			return err
 		}
