Convict only runs that began as suspects, and let any answer end a quarantine

Cause: the only suspect in a crash was quarantined, also if its run had begun before the suspicion; a popular request runs on every upstream. That the others answered it counted for nothing: only an isolated run settled a suspicion, and nothing but time ended a quarantine. The digest of records left out which are settled, so that a lost message was not made good.

Fix: a conviction needs a run that began as a suspect; a complete answer to any run ends suspicion and quarantine in the whole service, since a request that crashes upstreams gets none; the digest covers settled records. Where all upstreams that ran it are down and nothing can answer, one VM tries it again after 30 s, twice as long after each failure.

--- a/plugin/guard/crashes.go
+++ b/plugin/guard/crashes.go
@@ -88,13 +88,6 @@
 	delete(c.running, r)
 }
 
-// wasInCrash reports whether the request was found running in a crash.
-func (c *crashes) wasInCrash(r *run) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return r.inCrash
-}
-
 // connectionBroke is called before the end of a run whose connection broke. If the
 // upstream refuses connections, it blocks until the crash is recorded; otherwise the
 // upstream is probed some more times in the background.
@@ -165,7 +158,9 @@
 	inCrash := make([]quarantineplugin.Run, 0, len(runs))
 	for i, r := range runs {
 		fingerprint := r.fingerprint()
-		inCrash = append(inCrash, quarantineplugin.Run{Head: r.head, Fingerprint: fingerprint})
+		inCrash = append(inCrash, quarantineplugin.Run{
+			Head: r.head, Run: quarantine.Run{Fingerprint: fingerprint, Isolated: r.weight > 0},
+		})
 		if i < maxLoggedRuns {
 			ids = append(ids, r.head.ID)
 			fingerprints = append(fingerprints, hex.EncodeToString(fingerprint[:4]))
--- a/plugin/guard/forward.go
+++ b/plugin/guard/forward.go
@@ -154,7 +154,7 @@
 		}
 		_ = body.Close()
 		a.crashes.end(a.run)
-		a.settle(a.run)
+		a.quarantine.Settle(a.run.upstream.Service, a.run.fingerprint)
 		return reply, &meshcall.FinishingBody{ReadCloser: io.NopCloser(bytes.NewReader(buffered)), Finish: memory.Release}
 	}
 	body.broke = func() {
@@ -169,7 +169,7 @@
 	return reply, &meshcall.FinishingBody{ReadCloser: streamed, Finish: func() {
 		a.crashes.end(a.run)
 		if body.complete {
-			a.settle(a.run)
+			a.quarantine.Settle(a.run.upstream.Service, a.run.fingerprint)
 		}
 		memory.Release()
 	}}
--- a/plugin/guard/suspects.go
+++ b/plugin/guard/suspects.go
@@ -102,11 +102,3 @@
 	}()
 	return g.acquire(ctx, r.head)
 }
-
-// settle ends the suspicion of a request whose answer is complete, also if it became a
-// suspect while it ran.
-func (m *Module) settle(r *run) {
-	if r.weight > 0 || m.crashes.wasInCrash(r) {
-		m.quarantine.Settle(r.upstream.Service, r.fingerprint())
-	}
-}
--- a/plugin/inbound/isolate.go
+++ b/plugin/inbound/isolate.go
@@ -47,9 +47,7 @@
 	}()
 	finish := func(failed, answered bool) {
 		crashed := failed && crashprobe.Refused(local.upstream.Address)
-		if found := quarantine.Classify(weight == exclusiveWeight, crashed, answered); found != quarantine.NothingFound {
-			m.quarantine.RecordRun(head, fingerprint(), found)
-		}
+		m.quarantine.RecordRun(head, fingerprint, quarantine.Classify(weight == exclusiveWeight, crashed, answered))
 		m.isolation.Release(weight)
 	}
 	reply, answer := m.forward(ctx, local, head, body, token)
--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -30,6 +30,7 @@
 const (
 	defaultSuspectFor    = 10 * time.Minute
 	defaultQuarantineFor = 10 * time.Minute
+	defaultTrialAfter    = 30 * time.Second
 	defaultMaxRecords    = 1000
 	// broadcastTimeout bounds how long the reply to a request that crashed an
 	// upstream is delayed until the service's other VMs have its record.
@@ -61,7 +62,7 @@
 		New: func() kernel.Module {
 			return &Module{
 				SuspectFor: jsonc.Duration(defaultSuspectFor), QuarantineFor: jsonc.Duration(defaultQuarantineFor),
-				MaxRecords: defaultMaxRecords,
+				TrialAfter: jsonc.Duration(defaultTrialAfter), MaxRecords: defaultMaxRecords,
 			}
 		},
 	})
@@ -77,6 +78,9 @@
 	// QuarantineFor is how long a quarantined request is refused.
 	SuspectFor    jsonc.Duration `json:"suspect_for"`
 	QuarantineFor jsonc.Duration `json:"quarantine_for"`
+	// TrialAfter is the time after which a quarantined request runs again on one VM; it
+	// doubles if the upstream crashes then. 0 means never.
+	TrialAfter jsonc.Duration `json:"trial_after"`
 	// MaxRecords bounds the stored records. Of a full table settled ones are evicted
 	// first and quarantined ones last.
 	MaxRecords int `json:"max_records"`
@@ -115,6 +119,9 @@
 	if m.QuarantineFor <= 0 {
 		findings.Addf(prefix+"/quarantine_for", "must be above 0s")
 	}
+	if m.TrialAfter < 0 {
+		findings.Addf(prefix+"/trial_after", "must not be negative")
+	}
 	if m.MaxRecords < 1 {
 		findings.Addf(prefix+"/max_records", "must be at least 1")
 	}
@@ -128,6 +135,7 @@
 	m.clock, m.log = ctx.Clock, ctx.Log
 	m.table = quarantine.NewTable(quarantine.Options{
 		SuspectFor: m.SuspectFor.Std(), QuarantineFor: m.QuarantineFor.Std(), MaxRecords: m.MaxRecords,
+		VM: ctx.Node.VM, TrialAfter: m.TrialAfter.Std(),
 	})
 	m.filled = make(chan struct{}, 1)
 	m.registerMetrics(ctx.Registry)
@@ -172,8 +180,8 @@
 
 // Run is a request that was running when the local upstream crashed.
 type Run struct {
-	Head        *call.Head
-	Fingerprint ledger.Fingerprint
+	quarantine.Run
+	Head *call.Head
 }
 
 // RecordCrash records a crash of the local upstream and the requests that it was
@@ -183,34 +191,37 @@
 	if m.Disabled || len(runs) == 0 {
 		return
 	}
-	fingerprints := make([]ledger.Fingerprint, 0, len(runs))
+	accused := make([]quarantine.Run, 0, len(runs))
 	for _, run := range runs {
-		fingerprints = append(fingerprints, run.Fingerprint)
+		accused = append(accused, run.Run)
 	}
-	m.record(service, runs, m.accuse(fingerprints))
+	m.record(service, runs, m.accuse(accused))
 }
 
-func (m *Module) accuse(fingerprints []ledger.Fingerprint) map[ledger.Fingerprint]quarantine.Kind {
+func (m *Module) accuse(runs []quarantine.Run) map[ledger.Fingerprint]quarantine.Kind {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.table.Accuse(fingerprints, m.clock.Now())
+	return m.table.Accuse(runs, m.clock.Now())
 }
 
 // RecordRun records the finding from one run of a request. After a crash it blocks like
 // RecordCrash.
-func (m *Module) RecordRun(head *call.Head, fingerprint ledger.Fingerprint, found quarantine.Finding) {
+func (m *Module) RecordRun(head *call.Head, fingerprint func() ledger.Fingerprint, found quarantine.Finding) {
 	if m.Disabled {
 		return
 	}
-	run := Run{Head: head, Fingerprint: fingerprint}
+	kind := quarantine.Suspect
 	switch found {
-	case quarantine.FoundSuspect:
-		m.record(head.Service, []Run{run}, map[ledger.Fingerprint]quarantine.Kind{fingerprint: quarantine.Suspect})
-	case quarantine.FoundCause:
-		m.record(head.Service, []Run{run}, map[ledger.Fingerprint]quarantine.Kind{fingerprint: quarantine.Quarantined})
+	case quarantine.NothingFound:
+		return
 	case quarantine.FoundHarmless:
 		m.Settle(head.Service, fingerprint)
+		return
+	case quarantine.FoundCause:
+		kind = quarantine.Quarantined
 	}
+	run := Run{Head: head, Run: quarantine.Run{Fingerprint: fingerprint()}}
+	m.record(head.Service, []Run{run}, map[ledger.Fingerprint]quarantine.Kind{run.Fingerprint: kind})
 }
 
 // record adds a record of each fingerprint, also if several of its copies ran.
@@ -266,14 +277,22 @@
 	}
 }
 
-// Settle settles the suspicion of a request that ran isolated and was answered.
-func (m *Module) Settle(service string, fingerprint ledger.Fingerprint) {
+// Settle ends the suspicion and the quarantine of a request that was answered
+// completely.
+func (m *Module) Settle(service string, fingerprint func() ledger.Fingerprint) {
+	if m.Disabled || m.size.Load() == 0 {
+		return
+	}
+	f := fingerprint()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	settled := m.table.Settle(fingerprint, m.clock.Now())
+	settled := m.table.Settle(f, m.clock.Now())
 	if len(settled) == 0 {
 		return
 	}
+	m.log.WithFields(log.Fields{
+		"fingerprint": hex.EncodeToString(f[:]), "service": service, "route": settled[0].Route, "records": len(settled),
+	}).Info("a suspected or quarantined request was answered; it is neither any more")
 	if len(m.settled) == 0 {
 		m.clock.AfterFunc(settleDelay, func() { m.sendSettled(service) })
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,8 +4,10 @@
 //
 // Every request that was running when an upstream crashed becomes a suspect,
 // identified by the fingerprint of its contents. Suspects run isolated from each
-// other: if one is answered completely, the suspicion is settled; if the upstream
-// crashes again and it was the only suspect there, the fingerprint is quarantined.
+// other: if the upstream crashes again and the only suspect there had begun to run as
+// one, its fingerprint is quarantined. A complete answer to any run of a fingerprint
+// ends both, since a request that crashes upstreams gets none. If no run is left that
+// could be answered, one VM runs a quarantined request again from time to time.
 // Nodes exchange records and may merge them in any order.
 package quarantine
 
@@ -87,6 +89,11 @@
 	QuarantineFor time.Duration
 	// MaxRecords bounds the table.
 	MaxRecords int
+	// VM is the VM of the table. A quarantined fingerprint may run again on the VM that
+	// recorded it after TrialAfter, twice that after a failed trial and so on; never if
+	// TrialAfter is 0.
+	VM         string
+	TrialAfter time.Duration
 }
 
 // Verdict is how a request must be treated.
@@ -99,7 +106,8 @@
 	// RunWithSuspects makes a suspect of one crash run beside a limited number of
 	// other suspects.
 	RunWithSuspects
-	// RunAlone makes a suspect of several crashes run while no other suspect does.
+	// RunAlone makes a suspect of several crashes, and the trial of a quarantined
+	// request, run while no other suspect does.
 	RunAlone
 	// Refuse refuses a quarantined request.
 	Refuse
@@ -116,19 +124,19 @@
 	FoundSuspect
 	// FoundCause means that the upstream crashed while no other suspect ran.
 	FoundCause
-	// FoundHarmless means that a suspect ran isolated and was answered completely.
+	// FoundHarmless means that the request was answered completely.
 	FoundHarmless
 )
 
-// Classify returns the finding for one run. Only a complete answer clears a
-// suspect: a run that was refused, cancelled or truncated proves nothing.
+// Classify returns the finding for one run. Only a complete answer clears a request,
+// isolated or not: a run that was refused, cancelled or truncated proves nothing.
 func Classify(alone, crashed, answered bool) Finding {
 	switch {
 	case crashed && alone:
 		return FoundCause
 	case crashed:
 		return FoundSuspect
-	case alone && answered:
+	case answered:
 		return FoundHarmless
 	}
 	return NothingFound
@@ -148,7 +156,7 @@
 	// explained has the crashes in which a fingerprint ran that is quarantined. The other
 	// requests in them are no suspects.
 	explained map[RecordID]bool
-	// digest is the exclusive or of the hashes of the records' IDs.
+	// digest is the exclusive or of the hashes of the records.
 	digest uint64
 }
 
@@ -176,16 +184,14 @@
 func (t *Table) merge(record Record, now time.Time) bool {
 	observedAt := now.Add(-max(0, record.Age))
 	if existing, ok := t.records[record.ID]; ok {
-		newlySettled := record.Settled && !existing.record.Settled
-		existing.record.Settled = existing.record.Settled || record.Settled
-		return newlySettled
+		return record.Settled && t.settleEntry(existing)
 	}
 	entry := &tableEntry{record: record, observedAt: observedAt}
 	if t.expired(entry, now) {
 		return false
 	}
 	t.records[record.ID] = entry
-	t.digest ^= record.ID.hash()
+	t.digest ^= record.hash()
 	t.byFingerprint[record.Fingerprint] = append(t.byFingerprint[record.Fingerprint], entry)
 	t.explain(record.Fingerprint)
 	return true
@@ -194,7 +200,7 @@
 // explain marks the crashes of a quarantined fingerprint as explained.
 func (t *Table) explain(fingerprint ledger.Fingerprint) {
 	entries := t.byFingerprint[fingerprint]
-	if !slices.ContainsFunc(entries, func(e *tableEntry) bool { return e.record.Kind == Quarantined }) {
+	if !slices.ContainsFunc(entries, (*tableEntry).quarantined) {
 		return
 	}
 	for _, entry := range entries {
@@ -204,6 +210,8 @@
 	}
 }
 
+func (e *tableEntry) quarantined() bool { return e.record.Kind == Quarantined && !e.record.Settled }
+
 // Verdict returns how a request with the fingerprint must be treated.
 func (t *Table) Verdict(fingerprint ledger.Fingerprint, now time.Time) Verdict {
 	crashes := 0
@@ -212,6 +220,9 @@
 		case entry.record.Settled || t.expired(entry, now):
 			continue
 		case entry.record.Kind == Quarantined:
+			if _, trial, _ := t.trial(fingerprint); t.opts.TrialAfter > 0 && !now.Before(trial) {
+				return RunAlone
+			}
 			return Refuse
 		case !t.explained[entry.record.crash()]:
 			crashes++
@@ -226,61 +237,122 @@
 	return RunAlone
 }
 
-// Left returns how long the fingerprint stays quarantined; 0 if it is not.
+// trial returns when a quarantined fingerprint may run again on the first VM, and on
+// this one, and whether it is quarantined. VMs that recorded the quarantine at about the
+// same time take turns, so that the next one tries if the first one is gone. The wait
+// doubles with each failed trial.
+func (t *Table) trial(fingerprint ledger.Fingerprint) (first, here time.Time, quarantined bool) {
+	var quarantines []*tableEntry
+	for _, entry := range t.byFingerprint[fingerprint] {
+		if entry.quarantined() {
+			quarantines = append(quarantines, entry)
+		}
+	}
+	if len(quarantines) == 0 {
+		return first, here, false
+	}
+	slices.SortFunc(quarantines, func(a, b *tableEntry) int { return a.observedAt.Compare(b.observedAt) })
+	wait, round := t.opts.TrialAfter, 0
+	for i, entry := range quarantines {
+		if entry.observedAt.Sub(quarantines[round].observedAt) >= wait {
+			wait, round = 2*wait, i
+		}
+	}
+	var vms []string
+	for _, entry := range quarantines[round:] {
+		vms = append(vms, entry.record.ID.VM)
+	}
+	slices.Sort(vms)
+	first = quarantines[round].observedAt.Add(wait)
+	turn := slices.Index(slices.Compact(vms), t.opts.VM)
+	if turn < 0 {
+		return first, first.Add(t.opts.QuarantineFor), true
+	}
+	return first, first.Add(time.Duration(turn) * wait), true
+}
+
+// Left returns how long the fingerprint stays refused; 0 if it is not, or if its trial
+// is due on one of the VMs.
 func (t *Table) Left(fingerprint ledger.Fingerprint, now time.Time) time.Duration {
 	var left time.Duration
 	for _, entry := range t.byFingerprint[fingerprint] {
-		if !entry.record.Settled && entry.record.Kind == Quarantined {
+		if entry.quarantined() {
 			left = max(left, t.retention(entry)-now.Sub(entry.observedAt))
 		}
 	}
+	if first, _, quarantined := t.trial(fingerprint); quarantined && t.opts.TrialAfter > 0 {
+		left = min(left, max(0, first.Sub(now)))
+	}
 	return left
 }
 
+// Run is a request that was running when the upstream crashed.
+type Run struct {
+	Fingerprint ledger.Fingerprint
+	// Isolated is true if the request had begun to run as a suspect.
+	Isolated bool
+}
+
 // Accuse returns what each of the fingerprints becomes by a crash of the upstream that
-// ran them: if one of them alone was a suspect, it is quarantined.
-func (t *Table) Accuse(fingerprints []ledger.Fingerprint, now time.Time) map[ledger.Fingerprint]Kind {
-	kinds := make(map[ledger.Fingerprint]Kind, len(fingerprints))
-	var suspects []ledger.Fingerprint
-	for _, fingerprint := range fingerprints {
-		if _, seen := kinds[fingerprint]; seen {
-			continue
-		}
-		kinds[fingerprint] = Suspect
-		if t.Verdict(fingerprint, now) != RunConcurrently {
-			suspects = append(suspects, fingerprint)
+// ran them: if one of them alone was a suspect and had begun as one, it is quarantined.
+// Runs that began before the suspicion prove nothing: requests that many callers send
+// alike run on every upstream that crashes for another reason.
+func (t *Table) Accuse(runs []Run, now time.Time) map[ledger.Fingerprint]Kind {
+	kinds := make(map[ledger.Fingerprint]Kind, len(runs))
+	suspects, isolated := map[ledger.Fingerprint]bool{}, map[ledger.Fingerprint]bool{}
+	for _, run := range runs {
+		kinds[run.Fingerprint] = Suspect
+		if t.Verdict(run.Fingerprint, now) != RunConcurrently {
+			suspects[run.Fingerprint] = true
+			isolated[run.Fingerprint] = isolated[run.Fingerprint] || run.Isolated
 		}
 	}
 	if len(suspects) == 1 {
-		kinds[suspects[0]] = Quarantined
+		for fingerprint := range suspects {
+			if isolated[fingerprint] {
+				kinds[fingerprint] = Quarantined
+			}
+		}
 	}
 	return kinds
 }
 
-// Settle settles the suspect records of a fingerprint that ran isolated without a
-// crash, and returns those that were in effect.
+// Settle settles the records of a fingerprint that was answered completely, and returns
+// those that were in effect.
 func (t *Table) Settle(fingerprint ledger.Fingerprint, now time.Time) []Record {
-	return t.settle(fingerprint, Suspect, now)
-}
-
-// Lift settles all records of a fingerprint, both quarantined and suspect. It
-// reports whether any were in effect.
-func (t *Table) Lift(fingerprint ledger.Fingerprint, now time.Time) bool {
-	suspected := t.settle(fingerprint, Suspect, now)
-	return len(t.settle(fingerprint, Quarantined, now))+len(suspected) > 0
-}
-
-func (t *Table) settle(fingerprint ledger.Fingerprint, kind Kind, now time.Time) []Record {
 	var settled []Record
 	for _, entry := range t.byFingerprint[fingerprint] {
-		if entry.record.Kind == kind && !entry.record.Settled {
-			entry.record.Settled = true
+		if t.settleEntry(entry) {
 			settled = append(settled, entry.at(now))
 		}
 	}
 	return settled
 }
 
+// settleEntry settles a record and reports whether it was in effect.
+func (t *Table) settleEntry(entry *tableEntry) bool {
+	if entry.record.Settled {
+		return false
+	}
+	t.digest ^= entry.record.hash()
+	entry.record.Settled = true
+	t.digest ^= entry.record.hash()
+	if entry.record.Kind == Quarantined {
+		// Its crashes have no known cause any more.
+		clear(t.explained)
+		for fingerprint := range t.byFingerprint {
+			t.explain(fingerprint)
+		}
+	}
+	return true
+}
+
+// Lift settles all records of a fingerprint for an operator. It reports whether any were
+// in effect.
+func (t *Table) Lift(fingerprint ledger.Fingerprint, now time.Time) bool {
+	return len(t.Settle(fingerprint, now)) > 0
+}
+
 // at returns the record with its age.
 func (e *tableEntry) at(now time.Time) Record {
 	record := e.record
@@ -288,24 +360,31 @@
 	return record
 }
 
-// Digest returns a number that is the same for tables with the same records, settled
-// or not, and 0 for an empty one.
+// Digest returns a number that is the same for tables with the same records, of which
+// the same are settled, and 0 for an empty one.
 func (t *Table) Digest() uint64 {
 	return t.digest
 }
 
-// hash returns a hash of the ID.
-func (id RecordID) hash() uint64 {
-	return xxh3.HashString(fmt.Sprintf("%s/%d/%d", id.VM, id.Incarnation, id.Number))
+// hash returns a hash of the ID and of whether the record is settled.
+func (r *Record) hash() uint64 {
+	return xxh3.HashString(fmt.Sprintf("%s/%d/%d/%t", r.ID.VM, r.ID.Incarnation, r.ID.Number, r.Settled))
 }
 
-// Missing returns the table's records that are not among the given ones, newest first.
+// Missing returns the table's records that are not among the given ones, or not as
+// settled ones, newest first.
 func (t *Table) Missing(from []Record, now time.Time) []Record {
-	known := make(map[RecordID]bool, len(from))
+	type state struct {
+		id      RecordID
+		settled bool
+	}
+	known := make(map[state]bool, len(from))
 	for _, record := range from {
-		known[record.ID] = true
+		known[state{record.ID, record.Settled}] = true
 	}
-	return slices.DeleteFunc(t.Records(now), func(record Record) bool { return known[record.ID] })
+	return slices.DeleteFunc(t.Records(now), func(record Record) bool {
+		return known[state{record.ID, true}] || known[state{record.ID, record.Settled}]
+	})
 }
 
 // Records returns all records with their ages, newest first.
@@ -374,7 +453,7 @@
 
 func (t *Table) drop(id RecordID, entry *tableEntry) {
 	delete(t.records, id)
-	t.digest ^= id.hash()
+	t.digest ^= entry.record.hash()
 	if entry.record.Kind == Quarantined || len(t.records) == 0 {
 		t.forgetExplained()
 	}
