Acknowledge a departure once the store has it, and ask others for it after a restart

Cause: without the store's confirmation a notice was acknowledged once another node had it in memory, and it was never written later. A node that could not read its departures took the first heartbeat as true.

Fix: the acknowledgement needs the store. A node that the store turns away has another node write the departure, and read it after a restart. While the past cannot be learned at all, an upstream is used once it has gone on announcing itself for 4 s.

--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -68,11 +68,13 @@
 
 // Kinds of requests of fleets whose nodes discover each other through the store
 // only: KindRoster exchanges entries, KindDocument requests the configuration,
-// and KindPool requests a part of an organisation's rate limit.
+// KindPool requests a part of an organisation's rate limit, and KindDepartures writes
+// or reads departures for a node that the store turns away.
 const (
-	KindRoster   Kind = 60
-	KindDocument Kind = 61
-	KindPool     Kind = 62
+	KindRoster     Kind = 60
+	KindDocument   Kind = 61
+	KindPool       Kind = 62
+	KindDepartures Kind = 63
 )
 
 // KindLevels requests the admission levels of the services that a route calls.
@@ -99,7 +101,7 @@
 // String returns the value of the purpose label in metrics.
 func (k Kind) String() string {
 	switch k {
-	case KindRoster:
+	case KindRoster, KindDepartures:
 		return "roster"
 	case KindDocument:
 		return "document"
--- a/plugin/guard/departures.go
+++ b/plugin/guard/departures.go
@@ -15,7 +15,7 @@
 // the notice may arrive seconds after it.
 type departures struct {
 	incarnations []membership.Departure
-	// kept are the departures that outlive this process.
+	// kept are the departures that the store has.
 	kept []membership.Departure
 }
 
@@ -28,7 +28,7 @@
 	return true
 }
 
-// markKept records that the departure outlives this process.
+// markKept records that the store has the departure.
 func (d *departures) markKept(departed membership.Departure) {
 	d.kept = appendDeparture(d.kept, departed)
 }
--- a/plugin/guard/guard.go
+++ b/plugin/guard/guard.go
@@ -111,6 +111,12 @@
 	gate             *gate
 	// departures are the upstreams that gave notice of leaving.
 	departures departures
+	// unconfirmed is the incarnation that announces itself while the departures before
+	// this node's start are not known, and since when.
+	unconfirmed struct {
+		upstream incarnation
+		since    time.Time
+	}
 }
 
 var (
--- a/plugin/guard/upstream.go
+++ b/plugin/guard/upstream.go
@@ -13,17 +13,27 @@
 	"github.com/mangomast/mangomast/settings"
 )
 
-// maxMissedAnnouncements is the number of missed announcements after which the
-// upstream is marked absent. Announcements may arrive seconds late.
-const maxMissedAnnouncements = 4
+const (
+	// maxMissedAnnouncements is the number of missed announcements after which the
+	// upstream is marked absent. Announcements may arrive seconds late.
+	maxMissedAnnouncements = 4
+	// unconfirmedFor is how long an upstream must go on announcing itself until a node
+	// that does not know the departures takes it for ready. Announcements from before a
+	// notice of leaving arrive within that time.
+	unconfirmedFor = 4 * time.Second
+)
 
 var (
+	// ErrUnconfirmed is returned for an announcement to a node that does not know yet
+	// which upstreams gave notice of leaving before it started. The upstream should go
+	// on announcing itself.
+	ErrUnconfirmed = errors.New("not known yet whether the upstream has given notice of leaving")
 	// ErrOldAnnouncement is returned for an announcement that is not newer than the
 	// last accepted one.
 	ErrOldAnnouncement = errors.New("announcement is not newer than the last accepted one")
 	// ErrDepartureNotKept is returned for a notice of leaving that would be
-	// forgotten if this node ended now. The upstream should send it again.
-	ErrDepartureNotKept = errors.New("departure of the upstream is known to this process only")
+	// forgotten if all nodes ended now. The upstream should send it again.
+	ErrDepartureNotKept = errors.New("departure of the upstream is not in the store")
 )
 
 // Announcement is the heartbeat of an upstream.
@@ -86,13 +96,18 @@
 
 // HandleAnnouncement handles an announcement of the local upstream. It returns
 // ErrOldAnnouncement if the announcement is not newer than the last accepted
-// one, and ErrDepartureNotKept like HandleLeaveNotice if it says that the upstream
-// leaves. While the node starts it blocks, for about a second at most.
+// one, ErrUnconfirmed if it may be from before a notice of leaving that an earlier
+// incarnation of this node got, and ErrDepartureNotKept like HandleLeaveNotice if it
+// says that the upstream leaves. While the node starts it blocks, for about a second at
+// most.
 func (m *Module) HandleAnnouncement(ctx context.Context, a Announcement) error {
 	// A node that has just started does not know yet whether its predecessor got
 	// a notice of leaving from this upstream, nor which requests are quarantined.
 	<-m.roster.Synced()
 	m.quarantine.Join(a.Service)
+	if !a.Leaving && !m.confirmed(&a) {
+		return ErrUnconfirmed
+	}
 	err := m.applyAnnouncement(a)
 	if !a.Leaving {
 		return err
@@ -103,6 +118,22 @@
 	return err
 }
 
+// confirmed reports whether the upstream may be taken for ready: the departures before
+// this node's start are known, or the incarnation has gone on announcing itself for
+// longer than an announcement is delayed.
+func (m *Module) confirmed(a *Announcement) bool {
+	if m.roster.KnowsDepartures() {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	if m.unconfirmed.upstream != a.incarnation() {
+		m.unconfirmed.upstream, m.unconfirmed.since = a.incarnation(), now
+	}
+	return now.Sub(m.unconfirmed.since) >= unconfirmedFor
+}
+
 func (m *Module) applyAnnouncement(a Announcement) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -134,17 +165,17 @@
 // HandleLeaveNotice handles the notice that an upstream incarnation leaves and
 // will not return. born is its start time in Unix milliseconds, or 0 if unknown.
 // The incarnation gets no new requests from now on. It blocks, for less than a
-// second, until the departure outlives this process, and returns
-// ErrDepartureNotKept if that fails.
+// second, until the departure outlives all nodes, and returns ErrDepartureNotKept if
+// that fails.
 func (m *Module) HandleLeaveNotice(ctx context.Context, instance string, born int64) error {
 	departed := membership.Departure{Instance: instance, Born: born}
 	m.recordDeparture(departed, "notice of leaving")
 	return m.keepDeparture(ctx, departed)
 }
 
-// keepDeparture makes sure that the departure outlives this process, which may be
-// restarted while the upstream still serves and its earlier announcements are on
-// their way.
+// keepDeparture makes sure that the departure outlives this process and the other
+// nodes, which may be restarted while the upstream still serves and its earlier
+// announcements are on their way.
 func (m *Module) keepDeparture(ctx context.Context, departed membership.Departure) error {
 	m.mu.Lock()
 	kept := m.departures.isKept(departed)
@@ -154,7 +185,7 @@
 	}
 	if err := m.roster.KeepDeparture(ctx, departed); err != nil {
 		m.log.WithError(err).WithFields(log.Fields{"instance": departed.Instance, "born": departed.Born}).
-			Warn("the departure of the upstream is known to this process only; its notice is not acknowledged")
+			Warn("the departure of the upstream is not in the store; its notice is not acknowledged")
 		return ErrDepartureNotKept
 	}
 	m.mu.Lock()
--- a/plugin/roster/departures.go
+++ b/plugin/roster/departures.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -22,13 +21,14 @@
 	// for seconds after its notice of leaving, and announcements from before the
 	// notice may be delayed for seconds more.
 	departureLease = 2 * time.Minute
-	// departureStoreTimeout and departurePeerTimeout bound the two ways of keeping
-	// a departure. Together they are shorter than the second within which upstreams
-	// expect an answer to their notice.
+	// departureStoreTimeout and departurePeerTimeout bound the two ways of writing
+	// a departure to the store. Together they are shorter than the second within which
+	// upstreams expect an answer to their notice.
 	departureStoreTimeout = 500 * time.Millisecond
-	departurePeerTimeout  = 300 * time.Millisecond
-	// departurePeers is the number of nodes that are asked to keep a departure.
-	departurePeers = 3
+	departurePeerTimeout  = 400 * time.Millisecond
+	// departureReadTimeout bounds each way of reading the departures. It is longer than
+	// the answers of a slow store take.
+	departureReadTimeout = 3 * time.Second
 	// minReadBackoff and maxReadBackoff bound the backoff between attempts to read
 	// the departures or to write them again.
 	minReadBackoff = 200 * time.Millisecond
@@ -51,30 +51,32 @@
 	}
 }
 
-// KeepDeparture blocks until the departure outlives this process: until it is in
-// the store or, if the store does not confirm that in time, until another node has
-// it. This node's entry in the store is not enough, because it ends with the lease,
-// and a stopping node has none. KeepDeparture returns an error after
-// departureStoreTimeout and departurePeerTimeout, or when ctx is done.
+// KeepDeparture blocks until the store has the departure, written by this node or, if
+// the store does not confirm that in time, by another one. Nothing else outlives all
+// nodes: the entry ends with its lease, and other nodes may end with this one.
+// KeepDeparture returns an error after departureStoreTimeout and departurePeerTimeout,
+// or when ctx is done. Other nodes learn of the departure in any case.
 func (m *Module) KeepDeparture(ctx context.Context, departed membership.Departure) error {
-	err := m.storeDeparture(ctx, departed)
+	err := m.storeDeparture(ctx, m.mesh.Self().VM, departed)
 	if err == nil {
+		m.recordStored(departed)
 		return nil
 	}
 	if m.Self().Departed != departed {
 		m.Announce(func(e *membership.Entry) { e.Departed = departed })
 	}
-	if vm := m.tellPeers(ctx); vm != "" {
-		m.log.WithError(err).WithFields(log.Fields{"instance": departed.Instance, "born": departed.Born, "peer": vm}).
-			Warn("the store did not confirm an upstream's departure; another node keeps it")
+	if m.storeThroughPeers(ctx, departed) {
+		m.log.WithError(err).WithFields(log.Fields{"instance": departed.Instance, "born": departed.Born}).
+			Warn("the store did not confirm an upstream's departure to this node; another node has written it")
+		m.recordStored(departed)
 		return nil
 	}
-	return errors.Wrap(err, "no other node answered, and the store did not confirm")
+	return errors.Wrap(err, "the store did not confirm, and no other node could write the departure")
 }
 
-// storeDeparture writes the departure under a key and a lease of its own, so that
+// storeDeparture writes a departure of a VM under a key and a lease of its own, so that
 // a delayed write replaces no other one.
-func (m *Module) storeDeparture(ctx context.Context, departed membership.Departure) error {
+func (m *Module) storeDeparture(ctx context.Context, vm string, departed membership.Departure) error {
 	ctx, cancel := context.WithTimeout(ctx, departureStoreTimeout)
 	defer cancel()
 	value, err := json.Marshal(departed)
@@ -86,12 +88,9 @@
 	if err != nil {
 		return err
 	}
-	key := fmt.Sprintf("%s%016x", m.departurePrefix(), xxh3.Hash(value))
+	key := fmt.Sprintf("%s%016x", m.departurePrefix(vm), xxh3.Hash(value))
 	_, err = m.store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: key, Value: value, Lease: lease}}})
 	m.recordCall("put", err)
-	if err == nil {
-		m.recordStored(departed)
-	}
 	return err
 }
 
@@ -139,45 +138,20 @@
 	stored, now := slices.Clone(m.storedDepartures), m.clock.Now()
 	m.mu.Unlock()
 	for _, s := range stored {
-		if now.Sub(s.at) < departureLease && m.storeDeparture(ctx, s.departed) != nil {
+		if now.Sub(s.at) < departureLease && m.storeDeparture(ctx, m.mesh.Self().VM, s.departed) != nil {
 			return false
 		}
 	}
 	return true
 }
 
-// departurePrefix is the prefix of the keys of this VM's departures.
-func (m *Module) departurePrefix() string {
-	return m.storePrefix + "departed/" + m.mesh.Self().VM + "/"
-}
-
-// tellPeers sends this node's entry to some nodes and returns the first that has
-// answered, or an empty string if none does in time.
-func (m *Module) tellPeers(ctx context.Context) string {
-	ctx, cancel := context.WithTimeout(ctx, departurePeerTimeout)
-	defer cancel()
-	peers := m.correspondents()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	peers = peers[:min(departurePeers, len(peers))]
-	answered := make(chan string, len(peers))
-	for _, peer := range peers {
-		go func() {
-			if m.announceTo(peer) {
-				answered <- peer.VM
-			}
-		}()
-	}
-	select {
-	case vm := <-answered:
-		return vm
-	case <-ctx.Done():
-		return ""
-	}
-}
+// departurePrefix is the prefix of the keys of a VM's departures.
+func (m *Module) departurePrefix(vm string) string { return m.storePrefix + "departed/" + vm + "/" }
 
 // readDepartures reads the departures that earlier incarnations of this node left
-// in the store. It retries until it succeeds. The read is linearizable: a node may
-// be restarted right after it has confirmed a notice of leaving.
+// in the store, or has another node read them. It retries until one of them succeeds.
+// The read is linearizable: a node may be restarted right after it has confirmed a
+// notice of leaving.
 func (m *Module) readDepartures(ctx context.Context) error {
 	for backoff := minReadBackoff; !m.readDeparturesOnce(ctx); backoff = min(2*backoff, maxReadBackoff) {
 		if err := kernel.SleepWithJitter(ctx, m.clock, backoff); err != nil {
@@ -189,22 +163,49 @@
 	return ctx.Err()
 }
 
+// KnowsDepartures reports whether this node has learned which upstreams gave notice of
+// leaving to earlier incarnations of it.
+func (m *Module) KnowsDepartures() bool {
+	select {
+	case <-m.departuresRead:
+		return true
+	default:
+		return false
+	}
+}
+
 func (m *Module) readDeparturesOnce(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	departures, err := m.listDepartures(ctx, m.mesh.Self().VM)
+	if err != nil {
+		var ok bool
+		if departures, ok = m.readThroughPeers(ctx); !ok {
+			return false
+		}
+	}
+	for _, departed := range departures {
+		m.recordStored(departed)
+		m.handleDeparture(departed)
+	}
+	return true
+}
+
+// listDepartures reads the departures of a VM from the store.
+func (m *Module) listDepartures(ctx context.Context, vm string) ([]membership.Departure, error) {
+	ctx, cancel := context.WithTimeout(ctx, departureReadTimeout)
 	defer cancel()
-	listing, err := m.store.List(ctx, m.departurePrefix())
+	listing, err := m.store.List(ctx, m.departurePrefix(vm))
 	m.recordCall("departures", err)
 	if err != nil {
-		return false
+		return nil, err
 	}
+	var departures []membership.Departure
 	for _, record := range listing.Records {
 		var departed membership.Departure
 		if err := json.Unmarshal(record.Value, &departed); err != nil {
 			m.log.WithError(err).WithField("key", record.Key).Warn("ignoring an invalid departure in the store")
 			continue
 		}
-		m.recordStored(departed)
-		m.handleDeparture(departed)
+		departures = append(departures, departed)
 	}
-	return true
+	return departures, nil
 }
--- a/plugin/roster/roster.go
+++ b/plugin/roster/roster.go
@@ -226,6 +226,7 @@
 	m.roster.Observe(m.self, m.clock.Now())
 	m.publish()
 	m.mesh.Handle(mesh.KindRoster, mesh.Typed(m.serveExchange))
+	m.mesh.Handle(mesh.KindDepartures, mesh.Typed(m.serveDepartures))
 	kernel.Provide(ctx, m)
 	kernel.Provide[membership.Source](ctx, m)
 	kernel.Provide[membership.Announcer](ctx, m)
