Tell a reset from the end of an answer without a length

A server answered a long upload at once with a 200 without a length and reset the connection; the caller got the part that had arrived as a whole answer (MIXED).

Cause: the system reports a reset once. The write of the request may take the report, and the reads that follow return the end of the stream, which is the end of such a body.

Fix: connections to upstreams are wrapped, on the platform's node and in mangomastd: at the end of the stream the state of the socket and failed writes tell a reset from an orderly close.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/mangomast/mangomast/internal/resetconn"
 )
 
 // Options are the parameters of a Pool.
@@ -67,7 +69,7 @@
 				return nil, err
 			}
 			written, _ := ctx.Value(writtenKey{}).(*atomic.Int64)
-			return &countingConn{Conn: conn, written: written}, nil
+			return &countingConn{Conn: resetconn.New(conn), written: written}, nil
 		},
 	}
 	return p
--- a/plugin/inbound/inbound.go
+++ b/plugin/inbound/inbound.go
@@ -4,6 +4,7 @@
 package inbound
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"github.com/mangomast/mangomast/config"
 	"github.com/mangomast/mangomast/finding"
 	"github.com/mangomast/mangomast/internal/meshcall"
+	"github.com/mangomast/mangomast/internal/resetconn"
 	"github.com/mangomast/mangomast/jsonc"
 	"github.com/mangomast/mangomast/kernel"
 	"github.com/mangomast/mangomast/membership"
@@ -175,7 +177,13 @@
 func (m *Module) rebuild(upstream settings.Upstream) {
 	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return resetconn.New(conn), nil
+		},
 		MaxConnsPerHost:     upstream.Connections,
 		MaxIdleConnsPerHost: upstream.Connections,
 		DisableCompression:  true,
