Abort a body that breaks off on its way to another machine

An answer in chunks that was streamed and cut reached callers on other machines as a whole one.

Cause: the sender of a body read it with io.ReadFull and took io.ErrUnexpectedEOF, the error of a body that breaks off, for a short last part.

--- a/mesh/body.go
+++ b/mesh/body.go
@@ -181,9 +181,8 @@
 			return err
 		}
 		data := make([]byte, allowed)
-		n, err := io.ReadFull(body, data)
-		end := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-		if err != nil && !end {
+		n, end, err := fill(body, data)
+		if err != nil {
 			return err
 		}
 		_, _ = hash.Write(data[:n])
@@ -196,3 +195,19 @@
 		}
 	}
 }
+
+// fill reads until data is full or the body ends. Unlike io.ReadFull it tells a body that
+// ends from one that breaks off, whose error is io.ErrUnexpectedEOF too.
+func fill(body io.Reader, data []byte) (n int, end bool, err error) {
+	for n < len(data) {
+		read, err := body.Read(data[n:])
+		n += read
+		if errors.Is(err, io.EOF) {
+			return n, true, nil
+		}
+		if err != nil {
+			return n, false, err
+		}
+	}
+	return n, false, nil
+}
