Reset the connection of an HTTP/1.0 caller whose answer breaks off

Such a caller gets an answer without a length up to the end of the connection. A broken one ended with an orderly close and looked whole.

Evidence: TestBrokenAnswerIsNotWhole failed before for HTTP/1.0 and passes.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -161,9 +161,24 @@
 	bodyless := c.Request().Method == http.MethodHead
 	short := length >= 0 && written != length && !bodyless
 	if err != nil || short || written > limit {
-		panic(http.ErrAbortHandler)
+		abort(c)
 	}
 }
 
+// abort ends the connection so that the caller does not take what it got for the whole
+// answer. For HTTP/1.0 an answer without a length ends with its connection, which is
+// therefore reset.
+func abort(c echo.Context) {
+	if !c.Request().ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(c.Response()).Hijack(); err == nil {
+			if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // onlyWriter hides ReadFrom, which would bypass the buffer.
 type onlyWriter struct{ io.Writer }
