Ask other nodes for the departures while the store does not answer

A starting node waited up to 3 s for a store that is silent before it asked other nodes which upstreams had given notice; their upstreams were not used meanwhile. It asks them after 0.5 s now, and takes what comes first.

--- a/plugin/roster/departures.go
+++ b/plugin/roster/departures.go
@@ -26,8 +26,8 @@
 	// upstreams expect an answer to their notice.
 	departureStoreTimeout = 500 * time.Millisecond
 	departurePeerTimeout  = 400 * time.Millisecond
-	// departureReadTimeout bounds each way of reading the departures. It is longer than
-	// the answers of a slow store take.
+	// departureReadTimeout bounds reading the departures, by this node and through
+	// others. It is longer than a slow store takes to answer.
 	departureReadTimeout = 3 * time.Second
 	// minReadBackoff and maxReadBackoff bound the backoff between attempts to read
 	// the departures or to write them again.
@@ -174,19 +174,48 @@
 	}
 }
 
+// readDeparturesOnce asks other nodes if the store refuses the read, or leaves it without
+// an answer for some time.
 func (m *Module) readDeparturesOnce(ctx context.Context) bool {
-	departures, err := m.listDepartures(ctx, m.mesh.Self().VM)
-	if err != nil {
-		var ok bool
-		if departures, ok = m.readThroughPeers(ctx); !ok {
-			return false
+	ctx, cancel := context.WithTimeout(ctx, departureReadTimeout)
+	defer cancel()
+	type result struct {
+		departures []membership.Departure
+		err        error
+	}
+	own := make(chan result, 1)
+	go func() {
+		departures, err := m.listDepartures(ctx, m.mesh.Self().VM)
+		own <- result{departures, err}
+	}()
+	select {
+	case read := <-own:
+		if read.err == nil {
+			m.handleStored(read.departures)
+			return true
 		}
+		own <- read
+	case <-m.clock.After(departureStoreTimeout):
+	case <-ctx.Done():
+		return false
 	}
+	if departures, ok := m.readThroughPeers(ctx); ok {
+		m.handleStored(departures)
+		return true
+	}
+	read := <-own
+	if read.err == nil {
+		m.handleStored(read.departures)
+	}
+	return read.err == nil
+}
+
+// handleStored handles departures of this VM that the store has.
+func (m *Module) handleStored(departures []membership.Departure) {
 	for _, departed := range departures {
 		m.recordStored(departed)
 		m.handleDeparture(departed)
 	}
-	return true
 }
 
 // listDepartures reads the departures of a VM from the store.
