Mend what the linter finds in the tests of broken answers and in gossip

announceTo and send reported whether the peer had confirmed; nothing uses that since departures go through the store. Tests close the bodies and connections that they open; no assertion changed.

--- a/internal/connpool/reset_test.go
+++ b/internal/connpool/reset_test.go
@@ -44,6 +44,7 @@
 				if resp, err := conn.RoundTrip(req); err == nil {
 					answered++
 					_, err := io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
 					assert.Check(t, err != nil, "a part of the body passed for the whole")
 				}
 				conn.Close()
--- a/internal/httpcall/abort_test.go
+++ b/internal/httpcall/abort_test.go
@@ -39,6 +39,7 @@
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			if err == nil {
 				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
 			}
 			assert.Equal(t, err == nil, path == "whole", "%s %s: %v", proto, path, err)
 			assert.NilError(t, conn.Close())
--- a/internal/resetconn/resetconn_test.go
+++ b/internal/resetconn/resetconn_test.go
@@ -28,7 +28,7 @@
 				return
 			}
 			go func() {
-				defer conn.Close()
+				defer func() { _ = conn.Close() }()
 				reader := bufio.NewReader(conn)
 				if _, err := http.ReadRequest(reader); err != nil {
 					return
@@ -64,6 +64,7 @@
 	if err != nil {
 		return "", err
 	}
+	defer func() { _ = resp.Body.Close() }()
 	time.Sleep(2 * pause)
 	data, err := io.ReadAll(resp.Body)
 	return string(data), err
--- a/plugin/roster/gossip.go
+++ b/plugin/roster/gossip.go
@@ -160,11 +160,10 @@
 // them.
 func (m *Module) exchange(peer membership.Entry) { m.send(peer, false) }
 
-// announceTo sends this node's entry to the peer and reports whether the peer has
-// confirmed it.
-func (m *Module) announceTo(peer membership.Entry) bool { return m.send(peer, true) }
+// announceTo sends this node's entry to the peer.
+func (m *Module) announceTo(peer membership.Entry) { m.send(peer, true) }
 
-func (m *Module) send(peer membership.Entry, announcement bool) bool {
+func (m *Module) send(peer membership.Entry, announcement bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
 	var got answer
@@ -172,7 +171,7 @@
 	if err != nil {
 		m.metrics.exchanges.WithLabelValues("failed").Inc()
 		m.log.WithError(err).WithField("peer", peer.VM).Debug("exchange with peer failed")
-		return false
+		return
 	}
 	m.metrics.exchanges.WithLabelValues("ok").Inc()
 	m.handleEvacuations(got.Evacuations, peer.VM)
@@ -185,7 +184,6 @@
 		m.handlePredecessor(*got.Predecessor)
 	}
 	m.markPeersAnswered()
-	return true
 }
 
 // digestFor returns the request of an exchange with the VM.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -76,8 +76,8 @@
 	assert.DeepEqual(t, table.Accuse(running, start), map[ledger.Fingerprint]Kind{poison: Suspect})
 	running[1].Isolated = true
 	assert.DeepEqual(t, table.Accuse(running, start), map[ledger.Fingerprint]Kind{poison: Quarantined})
-	beside := append(running, Run{Fingerprint: ledger.Fingerprint{2}, Isolated: true})
-	assert.DeepEqual(t, table.Accuse(beside, start), map[ledger.Fingerprint]Kind{poison: Quarantined, {2}: Suspect})
+	running = append(running, Run{Fingerprint: ledger.Fingerprint{2}, Isolated: true})
+	assert.DeepEqual(t, table.Accuse(running, start), map[ledger.Fingerprint]Kind{poison: Quarantined, {2}: Suspect})
 }
 
 // TestAnswerEndsQuarantine guards against a wrong quarantine that lasts although the
